--- a/weldmount/wirehost.py
+++ b/sorreldock/wirehost.py
@@ -95,7 +95,7 @@
             sink.write("\n".join(replies))
             sink.flush()
     except (wire.WireError, SettingsError, UnicodeDecodeError) as error:
-        complain.write(f"weldmount: {error}; the line was: {line[:400]}\n")
+        complain.write(f"sorreldock: {error}; the line was: {line[:400]}\n")
         return 1
     return 0
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,7 +5,7 @@
 import dataclasses
 from collections.abc import Iterable
 
-from weldmount.interface import (
+from sorreldock.interface import (
     Action,
     DedupScope,
     Effect,
@@ -21,7 +21,7 @@
     Send,
     Settings,
 )
-from weldmount.rules import Gateway
+from sorreldock.rules import Gateway
 
 SAFE = RequestClass("safe", aim_s=1.0, deadline_s=5.0, streamed=True, aim_s_per_1k_tokens=0.03)
 UNSAFE = RequestClass("unsafe", aim_s=1.0, deadline_s=5.0, effect=Effect.UNSAFE)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -8,8 +8,8 @@
 import pytest
 from helpers import START, call, entry, fleet, gateway, homes, listing, sends, settings
 
-from weldmount.interface import ListKind, ReplicaState, WeightKind
-from weldmount.rules import Gateway
+from sorreldock.interface import ListKind, ReplicaState, WeightKind
+from sorreldock.rules import Gateway
 
 KEYS = [f"key-{k}" for k in range(3000)]
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -23,7 +23,7 @@
 from hypothesis import settings as profile
 from hypothesis import strategies as st
 
-from weldmount.interface import (
+from sorreldock.interface import (
     Action,
     AttemptEnded,
     ClientGone,
@@ -48,7 +48,7 @@
     Subscribe,
     TimerFired,
 )
-from weldmount.rules import Gateway
+from sorreldock.rules import Gateway
 
 NEVER_RAN = (Status.FULL, Status.CONNECT_FAILED, Status.NOT_SENT)
 MAY_HAVE_RUN = (Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,8 +11,8 @@
 
 import pytest
 
-from weldmount import wire
-from weldmount.interface import (
+from sorreldock import wire
+from sorreldock.interface import (
     Cancel,
     Fail,
     ListKind,
@@ -133,7 +133,7 @@
 
 def adapter(text: str, seed: str = "0") -> subprocess.CompletedProcess[str]:
     return subprocess.run(
-        [sys.executable, "-m", "weldmount.wirehost"],
+        [sys.executable, "-m", "sorreldock.wirehost"],
         input=text, capture_output=True, text=True, timeout=60, env={**os.environ, "PYTHONHASHSEED": seed},
     )  # fmt: skip
 
@@ -209,7 +209,7 @@
 
 
 def test_an_exception_in_the_rules_is_told_as_a_crash(monkeypatch: pytest.MonkeyPatch) -> None:
-    from weldmount import wirehost
+    from sorreldock import wirehost
 
     def broken(*_: object) -> None:
         raise IndexError("index out of\nrange")
