--- a/sorreldock/__init__.py
+++ b/sorreldock/__init__.py
@@ -2,4 +2,5 @@
 
 from .rules import Gateway
 
-__all__ = ["Gateway"]
+__version__ = "0.2.0"
+__all__ = ["Gateway", "__version__"]
--- a/sorreldock/interface.py
+++ b/sorreldock/interface.py
@@ -92,6 +92,8 @@
     retry_advice: bool = False
     max_retry_after_s: float = 0.0
     resume_streams: bool = False
+    connect_timeout_s: float = 0.2
+    conn_idle_s: float = 60.0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/sorreldock/program/cli.py
@@ -0,0 +1,67 @@
+"""The command line."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from .. import __version__
+from .config import Config, ConfigError, load
+
+app = typer.Typer(
+    add_completion=False, no_args_is_help=True, help="A request router for fleets of language-model servers."
+)
+OperatorFile = Annotated[
+    Path | None,
+    typer.Option("--operator", envvar="SORRELDOCK_OPERATOR", help="An operator's file (see deploy/)."),
+]
+
+
+def _config(operator: Path | None) -> Config:
+    """The configuration; a fault ends the command with one plain line."""
+    try:
+        return load(operator_file=operator)
+    except ConfigError as error:
+        print(f"sorreldock: {error}".replace("\n", " "), file=sys.stderr)
+        raise typer.Exit(2) from None
+
+
+@app.command()
+def serve(operator: OperatorFile = None) -> None:
+    """Route requests until SIGTERM, as the environment (RELAY_CONFIG and its kin) says."""
+    config = _config(operator)
+    from .serve import serve as run
+
+    try:
+        run(config)
+    except* OSError as errors:
+        error: BaseException = errors
+        while isinstance(error, BaseExceptionGroup):
+            error = error.exceptions[0]
+        print(f"sorreldock: {error}", file=sys.stderr)
+        sys.exit(1)
+
+
+@app.command("check-config")
+def check_config(operator: OperatorFile = None) -> None:
+    """Read the configuration as `serve` would, and say what it comes to."""
+    config = _config(operator)
+    fronts = ["http"] if config.operator.http else []
+    fronts += ["kserve"] if config.operator.kserve else []
+    print(
+        f"{config.name}: listens on {config.listen}, fronts {', '.join(fronts)}, "
+        f"{len(config.known.targets)} engines known, {len(config.settings.classes)} classes"
+    )
+
+
+@app.command()
+def version() -> None:
+    """Print the version."""
+    print(__version__)
+
+
+def main() -> None:
+    app()
--- /dev/null
+++ b/sorreldock/protocol/http/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's protocol over HTTP/1.1."""
--- /dev/null
+++ b/sorreldock/protocol/http/discovery.py
@@ -0,0 +1,136 @@
+"""The resolver: the platform's discovery, watched over HTTP/1.1. Its actor is the list's."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+from collections.abc import Callable
+from typing import Any
+
+import h11
+import trio
+
+from ...interface import ListKind, ReplicaState
+from ...routing.types import Log, ResolverResult, Target
+from ...transport.connection import Connection, ConnectionLost, DialFailed, dial
+
+STATES = {
+    "Ready": ReplicaState.READY,
+    "Terminating": ReplicaState.DRAINING,
+    "Gone": ReplicaState.GONE,
+}
+DIAL_S = 1.0
+FIRST_S = 3.0  # discovery answers in turn and gives up on a call after 2 s
+# An empty line comes every 2 s. Guards against a discovery that is cut off and says nothing: without this
+# limit the list would grow old unnoticed, and the platform takes a router for told after `must_ask_in_s`.
+STALL_S = 4.5
+LARGEST_LINE = 1024 * 1024
+
+
+class ListError(ValueError):
+    """A list that is not of the platform's form."""
+
+
+def decode_target(raw: Any) -> Target:
+    try:
+        return Target(
+            uid=str(raw["uid"]),
+            endpoint=str(raw["endpoint"]),
+            zone=str(raw.get("az", "")),
+            kind=str(raw.get("model", "")),
+            cell=int(raw.get("pod_group", 0)),
+            state=STATES[raw["state"]],
+            weight=float(raw.get("capacity_hint", 1.0)),
+            started_at=float(raw.get("boot_ms", 0)) / 1000.0,
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise ListError(f"an entry of the list is malformed: {error!r}") from None
+
+
+def decode_result(raw: Any, kind: ListKind | None = None) -> ResolverResult:
+    if not isinstance(raw, dict) or not isinstance(raw.get("targets"), list):
+        raise ListError("the list is not an object with targets")
+    try:
+        version = int(raw.get("rev", 0))
+    except (TypeError, ValueError):
+        raise ListError("rev is not a number") from None
+    targets = tuple(decode_target(entry) for entry in raw["targets"])
+    return ResolverResult(kind or (ListKind.FULL if raw.get("all") else ListKind.DELTA), targets, version)
+
+
+class Resolver:
+    """Watches when the module asks for it. When a watch ends it says so; the module asks again, after a
+    jittered pause that doubles with each loss and stays within `must_ask_in_s`."""
+
+    def __init__(
+        self, address: str, version: int, on_result: Callable[[ResolverResult], None], log: Log
+    ) -> None:
+        self._address = address
+        self._version = version
+        self._on_result = on_result
+        self._log = log
+        self._send, self._mailbox = trio.open_memory_channel[None](1)
+
+    def subscribe(self) -> None:
+        """Ask for a watch; asking while one is on is of no effect."""
+        with contextlib.suppress(trio.WouldBlock):
+            self._send.send_nowait(None)
+
+    async def run(self) -> None:
+        async for _ in self._mailbox:
+            try:
+                await self._watch()
+                reason = "ended"
+            except (ConnectionLost, DialFailed, h11.RemoteProtocolError, ListError) as error:
+                reason = str(error)
+            self._log("notice", "WATCH", "the watch on the list is lost", reason=reason)
+            self._on_result(ResolverResult(ListKind.LOST))
+
+    async def _watch(self) -> None:
+        connection = await dial(self._address, DIAL_S, lambda: None)
+        try:
+            await self._read(connection)
+        finally:
+            connection.close()
+
+    async def _read(self, connection: Connection) -> None:
+        parser = h11.Connection(h11.CLIENT)
+        request = h11.Request(
+            method="GET",
+            target=f"/discovery/hosts?watch=1&after={self._version}",
+            headers=[("host", self._address)],
+        )
+        await connection.send((parser.send(request) or b"") + (parser.send(h11.EndOfMessage()) or b""))
+        rest, limit = b"", FIRST_S
+        while True:
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                with trio.move_on_after(limit) as stall:
+                    data = await connection.receive()
+                if stall.cancelled_caught:
+                    raise ConnectionLost("stalled")
+                parser.receive_data(data)
+            elif isinstance(event, h11.Response):
+                if event.status_code != 200:
+                    raise ConnectionLost(f"HTTP {event.status_code}")
+            elif isinstance(event, h11.Data):
+                limit = STALL_S
+                *lines, rest = (rest + bytes(event.data)).split(b"\n")
+                if len(rest) > LARGEST_LINE:
+                    raise ListError("the list is too long")
+                for line in lines:
+                    if line.strip():
+                        self._take(line)
+            elif isinstance(event, h11.InformationalResponse):
+                continue
+            else:
+                return
+
+    def _take(self, line: bytes) -> None:
+        try:
+            raw = json.loads(line)
+        except ValueError:
+            raise ListError("a line of the watch is not JSON") from None
+        result = decode_result(raw)
+        self._version = result.version
+        self._on_result(result)
--- /dev/null
+++ b/sorreldock/protocol/http/front.py
@@ -0,0 +1,292 @@
+"""The platform's front: HTTP/1.1 clients, one RPC at a time on a connection."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+
+import h11
+import trio
+
+from ...routing.core import Core, Overloaded
+from ...routing.types import RPC, Final, Log, Outcome, SinkClosed
+from ...transport.budget import Descriptors, Use
+from ...transport.connection import Connection, ConnectionLost
+from .fields import SERVED_PATH, BadRequest, rpc_from
+
+LARGEST_BODY = 256 * 1024
+LARGEST_HEAD = 16 * 1024
+MOST_BODY_BYTES = 40 * 1024 * 1024  # of all requests together
+HEAD_S = 10.0  # from a request's first byte to the end of its head
+BODY_S = 30.0
+WRITE_S = 15.0  # a client that takes nothing for so long has gone
+IDLE_S = 120.0
+STREAM_HEAD = [(b"content-type", b"text/event-stream"), (b"cache-control", b"no-cache")]
+
+
+class Answered(Exception):
+    """The request gets this plain answer, without the core."""
+
+    def __init__(self, status: int, text: str, headers: tuple[tuple[bytes, bytes], ...] = ()) -> None:
+        super().__init__(text)
+        self.status, self.text, self.headers = status, text, headers
+
+
+class ClientConnection:
+    """The actor of one client connection, and the sink of the RPC that is on it."""
+
+    def __init__(self, front: HttpFront, connection: Connection) -> None:
+        self.front = front
+        self.connection = connection
+        self.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=LARGEST_HEAD)
+        self.waiting = trio.CancelScope()  # cancelled to close the connection between requests
+        self.idle = False
+        self.held_bytes = 0
+        self.final: Final | None = None
+        self.finished = trio.Event()
+        self.head_sent = False
+
+    # The core's side.
+
+    async def event(self, data: bytes) -> None:
+        if self.final is not None:
+            raise SinkClosed
+        out = b""
+        if not self.head_sent:
+            self.head_sent = True
+            self.release_body()
+            out = self.encode(h11.Response(status_code=200, headers=[*STREAM_HEAD, *self.closing()]))
+        try:
+            await self.write(out + self.encode(h11.Data(data=data)))
+        except ConnectionLost:
+            raise SinkClosed from None
+
+    def finish(self, final: Final) -> None:
+        self.final = final
+        self.finished.set()
+
+    # The wire's side.
+
+    def encode(self, event: h11.Event) -> bytes:
+        return self.parser.send(event) or b""
+
+    async def write(self, data: bytes) -> None:
+        with trio.move_on_after(WRITE_S) as scope:
+            await self.connection.send(data)
+        if scope.cancelled_caught:  # guards memory and engines against a reader that never reads
+            raise ConnectionLost("the client takes nothing")
+
+    def closing(self) -> list[tuple[bytes, bytes]]:
+        return [(b"connection", b"close")] if self.front.draining else []
+
+    def release_body(self) -> None:
+        self.front.body_bytes -= self.held_bytes
+        self.held_bytes = 0
+
+    async def run(self) -> None:
+        try:
+            while True:
+                try:
+                    request = await self.next_request()
+                    if request is None:
+                        return
+                    await self.attend(request)
+                except Answered as answer:
+                    await self.answer(answer.status, answer.text, answer.headers)
+                finally:
+                    self.release_body()
+                if self.parser.our_state is not h11.DONE or self.parser.their_state is not h11.DONE:
+                    return
+                if self.front.closing:
+                    return
+                self.parser.start_next_cycle()
+        except (ConnectionLost, h11.LocalProtocolError):
+            pass  # the client has gone in the middle of an answer
+
+    async def next_request(self) -> h11.Request | None:
+        """The next head; None at the connection's end."""
+        self.idle = True
+        try:
+            if self.parser.trailing_data[0] == b"" and not self.connection.unread:
+                with self.waiting, trio.move_on_after(IDLE_S):
+                    if not await self.connection.fill():
+                        return None
+                if not self.connection.unread:
+                    return None
+        finally:
+            self.idle = False
+        with trio.move_on_after(HEAD_S):
+            request = await self.next_event()
+            return request if isinstance(request, h11.Request) else None
+        raise Answered(408, "the head did not arrive in time", ((b"connection", b"close"),))
+
+    async def next_event(self) -> h11.Event | None:
+        """The parser's next event; None when the client has ended its sending."""
+        while True:
+            try:
+                event = self.parser.next_event()
+            except h11.RemoteProtocolError as error:
+                if self.parser.their_state is h11.ERROR and not self.parser.trailing_data[1]:
+                    raise Answered(
+                        error.error_status_hint, f"malformed HTTP: {error}", ((b"connection", b"close"),)
+                    ) from None
+                return None
+            if event is h11.NEED_DATA:
+                if self.parser.they_are_waiting_for_100_continue:
+                    await self.write(self.encode(h11.InformationalResponse(status_code=100, headers=[])))
+                self.parser.receive_data(await self.connection.receive())
+            elif isinstance(event, h11.ConnectionClosed):
+                return None
+            else:
+                return event  # type: ignore[return-value]
+
+    async def attend(self, request: h11.Request) -> None:
+        path = request.target.partition(b"?")[0].decode("latin-1")
+        if path == "/up":
+            self.require(request, b"GET")
+            await self.body()
+            ready = self.front.is_ready()
+            await self.answer(200 if ready else 503, "ready" if ready else "not ready")
+        elif path == SERVED_PATH:
+            self.require(request, b"POST")
+            await self.call(request)
+        else:
+            raise Answered(404, "no such path")
+
+    @staticmethod
+    def require(request: h11.Request, method: bytes) -> None:
+        if request.method != method:
+            raise Answered(405, "method not allowed", ((b"allow", method),))
+
+    async def body(self, length: bytes = b"0") -> bytes:
+        if length.isdigit() and int(length) > LARGEST_BODY:
+            raise Answered(413, "the body is larger than 256 KiB", ((b"connection", b"close"),))
+        parts: list[bytes] = []
+        size = 0
+        with trio.move_on_after(BODY_S):
+            while not isinstance(event := await self.next_event(), h11.EndOfMessage):
+                if not isinstance(event, h11.Data):
+                    raise ConnectionLost("the client left within its body")
+                size += len(event.data)
+                if size > LARGEST_BODY:
+                    raise Answered(413, "the body is larger than 256 KiB", ((b"connection", b"close"),))
+                if self.front.body_bytes + len(event.data) > MOST_BODY_BYTES:
+                    # Guards the memory limit: a crowd of large bodies is refused, not held.
+                    raise Answered(
+                        503, "too many large requests", ((b"retry-after", b"1"), (b"connection", b"close"))
+                    )
+                self.front.body_bytes += len(event.data)
+                self.held_bytes += len(event.data)
+                parts.append(bytes(event.data))
+            return b"".join(parts)
+        raise Answered(408, "the body did not arrive in time", ((b"connection", b"close"),))
+
+    async def call(self, request: h11.Request) -> None:
+        headers = dict(request.headers)
+        body = await self.body(headers.get(b"content-length", b"0"))
+        core = self.front.core
+        self.final, self.finished, self.head_sent = None, trio.Event(), False
+        try:
+            rpc = rpc_from(headers, request.target, body, core.classes, core.tenants, self)
+        except BadRequest as error:
+            raise Answered(400, str(error)) from None
+        del body
+        try:
+            core.submit(rpc)
+        except Overloaded:
+            raise Answered(503, "too many open requests", ((b"retry-after", b"1"),)) from None
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.watch, rpc)
+                await self.finished.wait()
+                nursery.cancel_scope.cancel()
+        finally:
+            core.client_gone(rpc)  # of no effect once it is answered
+        await self.conclude()
+
+    async def watch(self, rpc: RPC) -> None:
+        """Notice that the client has gone. What it sends ahead stays in the ring."""
+        try:
+            while await self.connection.fill():
+                pass
+        except ConnectionLost:
+            pass
+        self.front.core.client_gone(rpc)
+
+    async def conclude(self) -> None:
+        final = self.final
+        assert final is not None
+        if final.outcome is Outcome.SERVED:
+            if not self.head_sent:
+                await self.write(self.encode(h11.Response(status_code=200, headers=STREAM_HEAD)))
+            await self.write(self.encode(h11.EndOfMessage()))
+        elif final.outcome is Outcome.REFUSED:
+            advice: tuple[tuple[bytes, bytes], ...] = ()
+            if final.retry_after_s > 0:
+                advice = ((b"retry-after", f"{final.retry_after_s:.3f}".encode()),)
+            await self.answer(503, f"refused: {final.cause.value}", advice)
+        elif final.outcome is Outcome.FAILED:
+            await self.answer(504 if final.cause.value == "deadline" else 502, "failed")
+        else:  # broken or gone: the connection ends here, without the last chunk
+            raise ConnectionLost("stream broken")
+
+    async def answer(self, status: int, text: str, headers: tuple[tuple[bytes, bytes], ...] = ()) -> None:
+        if self.parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            raise ConnectionLost("an answer has begun")
+        body = text.encode() + b"\n"
+        head = [(b"content-type", b"text/plain"), (b"content-length", str(len(body)).encode()), *headers]
+        if not any(name == b"connection" for name, _ in headers):
+            head += self.closing()
+        out = self.encode(h11.Response(status_code=status, headers=head))
+        out += self.encode(h11.Data(data=body)) + self.encode(h11.EndOfMessage())
+        await self.write(out)
+        if self.parser.their_state is h11.SEND_BODY:  # its body is not read: say so before closing
+            await self.linger()
+
+    async def linger(self) -> None:
+        """Read on for a moment, lest a reset for unread bytes overtakes the answer."""
+        with trio.move_on_after(0.5):
+            for _ in range(64):
+                if not await self.connection.receive():
+                    return
+
+
+class HttpFront:
+    def __init__(self, core: Core, is_ready: Callable[[], bool], budget: Descriptors, log: Log) -> None:
+        self.core = core
+        self.is_ready = is_ready
+        self.draining = False  # answers say `Connection: close`
+        self.closing = False  # connections end after their answer
+        self.body_bytes = 0
+        self._log = log
+        self._clients: set[ClientConnection] = set()
+        budget.evictors[Use.CLIENT].append(self.close_one_idle)
+
+    async def handle(self, connection: Connection) -> None:
+        client = ClientConnection(self, connection)
+        self._clients.add(client)
+        try:
+            await client.run()
+        except Exception as error:  # a peer's fault never ends the program
+            self._log("err", "FRONT", "fault on a client connection", error=repr(error))
+        finally:
+            self._clients.discard(client)
+
+    def close_one_idle(self) -> bool:
+        """Ask one idle client connection to close; its descriptor comes free a moment later."""
+        client = next((c for c in self._clients if c.idle and not c.waiting.cancel_called), None)
+        if client is not None:
+            client.waiting.cancel()
+        return False
+
+    def close_idle(self) -> None:
+        """Close connections between requests, now and from now on."""
+        self.closing = True
+        for client in self._clients:
+            client.waiting.cancel()
+
+    async def closed(self, within_s: float) -> None:
+        """Wait until the last answer has been written."""
+        with trio.move_on_after(within_s if within_s > 0 else math.inf):
+            while self._clients:
+                await trio.sleep(0.01)
--- /dev/null
+++ b/sorreldock/routing/core.py
@@ -0,0 +1,388 @@
+"""The core: the table of open RPCs, the timers, and the actor that alone speaks with the module."""
+
+from __future__ import annotations
+
+import heapq
+import math
+import time
+from collections.abc import Callable
+
+import trio
+
+from ..interface import (
+    AttemptEnded,
+    Cancel,
+    ClientGone,
+    Event,
+    Fail,
+    FirstToken,
+    ListKind,
+    Probe,
+    ProbeEnded,
+    Refuse,
+    ReplicaEntry,
+    ReplicaList,
+    ReplicaState,
+    RequestArrived,
+    Send,
+    SetTimer,
+    Settings,
+    Status,
+    Subscribe,
+    TellPeers,
+    TimerFired,
+)
+from ..rules import Gateway, key_of
+from .subchannel import CallAttempt, Probing, Start, Subchannel, Update
+from .types import RPC, Cause, Connect, Final, Log, Outcome, Report, ResolverResult, Target
+
+NEVER_RAN = (Status.FULL, Status.CONNECT_FAILED, Status.NOT_SENT)
+# The final answer has to land before the client gives up, and its clock started a journey earlier than ours.
+MARGIN_S = 0.03
+OVERDUE_S = 0.02  # after this the core answers by itself what the module has left open
+
+
+class Overloaded(Exception):
+    """As many RPCs are open as there may be."""
+
+
+class OpenRPC:
+    """An RPC from its arrival to its one final answer, and until its last attempt has ended."""
+
+    __slots__ = ("answered", "attempts", "out", "rpc", "statuses")
+
+    def __init__(self, rpc: RPC) -> None:
+        self.rpc = rpc
+        self.attempts: list[CallAttempt | None] = []
+        self.out = 0
+        self.statuses: list[Status] = []
+        self.answered = False
+
+    @property
+    def started(self) -> bool:
+        return any(a is not None and a.started for a in self.attempts)
+
+    def may_have_run(self) -> bool:
+        return any(s not in NEVER_RAN for s in self.statuses)
+
+
+class Core:
+    def __init__(
+        self,
+        settings: Settings,
+        seed: int,
+        connect: Connect,
+        subscribe: Callable[[], None],
+        log: Log,
+        most_open: int = 512,
+        probed_with: str = "http",
+    ) -> None:
+        self.settings = settings
+        self.classes = {c.name for c in settings.classes}
+        self.tenants = {t.name for t in settings.tenants}
+        self.open: dict[str, OpenRPC] = {}
+        self.subchannels: dict[int, Subchannel] = {}
+        self._gateway = Gateway(settings, seed)
+        self._connect = connect
+        self._subscribe = subscribe
+        self._log = log
+        self._most_open = most_open
+        self._probed_with = probed_with
+        self._arrived = 0
+        self._timers: list[tuple[float, int, str | OpenRPC]] = []
+        self._timer_count = 0
+        # The clock of the module is Unix time, as the engines' start times are, but never steps back.
+        self._epoch = time.time() - trio.current_time()
+        # Bounded by the open RPCs, whose number is, and by what subchannels and the resolver may have out.
+        self._post, self._mailbox = trio.open_memory_channel[Event](math.inf)
+        self._nursery: trio.Nursery | None = None
+        self._idle = trio.Event()
+
+    # What the fronts call.
+
+    def can_serve(self) -> bool:
+        return self._nursery is not None and any(s.ready for s in self.subchannels.values())
+
+    def submit(self, rpc: RPC) -> None:
+        """Take an RPC; its sink gets exactly one final answer."""
+        if len(self.open) >= self._most_open:  # guards memory: every open RPC holds its payload
+            raise Overloaded
+        self._arrived += 1
+        # The module builds its timers' tokens from the id with colons, and an id may come twice.
+        rpc.key = f"{rpc.name.replace(':', '_')}.{self._arrived}"
+        rpc.expires_at = trio.current_time() + rpc.expires_in_s - min(MARGIN_S, 0.1 * rpc.expires_in_s)
+        entry = self.open[rpc.key] = OpenRPC(rpc)
+        self._set_timer(rpc.expires_at + OVERDUE_S, entry)
+        self._post.send_nowait(
+            RequestArrived(
+                request=rpc.key,
+                request_class=rpc.rpc_class,
+                expires_at=rpc.expires_at + self._epoch,
+                session=rpc.session,
+                shared_prefix=rpc.prefix,
+                tenant=rpc.tenant,
+                prompt_tokens=rpc.prompt_tokens,
+                prefix_tokens=rpc.prefix_tokens,
+                max_output_tokens=rpc.max_output_tokens,
+                is_retry=rpc.is_retry,
+                resumed=rpc.resumed,
+            )
+        )
+
+    def client_gone(self, rpc: RPC) -> None:
+        entry = self.open.get(rpc.key)
+        if entry is None or entry.answered:
+            return
+        self._finish(entry, Final(Outcome.GONE))
+        self._abandon(entry)
+
+    def _abandon(self, entry: OpenRPC) -> None:
+        """Nobody waits any longer: tell the module, and stop what is still out."""
+        self._post.send_nowait(ClientGone(entry.rpc.key))
+        for attempt in entry.attempts:
+            if attempt is not None:
+                attempt.give_up(Status.CANCELLED)
+        self._forget_if_over(entry)
+
+    async def drained(self) -> None:
+        """Wait until no RPC is open."""
+        while self.open:
+            self._idle = trio.Event()
+            await self._idle.wait()
+
+    # What the resolver calls.
+
+    def resolved(self, result: ResolverResult) -> None:
+        """Take a resolver result: the subchannels follow at once, the module in its next batch."""
+        if result.kind is ListKind.LOST:
+            self._post.send_nowait(ReplicaList(ListKind.LOST))
+            return
+        entries = tuple(self._entry(target) for target in result.targets)
+        listed = {entry.replica for entry in entries}
+        if result.kind is not ListKind.DELTA:
+            for number in [n for n in self.subchannels if n not in listed]:
+                self._remove(number)
+        for entry, target in zip(entries, result.targets, strict=True):
+            self._apply(entry, target)
+        self._post.send_nowait(ReplicaList(result.kind, entries, result.version))
+
+    def _entry(self, target: Target) -> ReplicaEntry:
+        number = key_of(target.uid)  # alike at every router, as the draw wants it
+        return ReplicaEntry(
+            number, target.zone, target.cell, target.weight, target.state, target.started_at, target.kind
+        )
+
+    def _apply(self, entry: ReplicaEntry, target: Target) -> None:
+        known = self.subchannels.get(entry.replica)
+        if target.state is ReplicaState.GONE:
+            self._remove(entry.replica)
+            return
+        if known is not None and known.target.endpoint != target.endpoint:
+            self._remove(entry.replica)
+            known = None
+        ready = target.state is ReplicaState.READY
+        if known is None:
+            known = Subchannel(
+                entry.replica,
+                target,
+                self._connect(target.endpoint),
+                self._probed_with,
+                self._attempt_ended,
+                self._probe_ended,
+            )
+            self.subchannels[entry.replica] = known
+            if self._nursery is not None:
+                self._nursery.start_soon(known.run)
+        restarted = target.started_at > known.target.started_at
+        known.target, known.ready = target, ready
+        known.post(Update(ready, restarted))
+
+    def _remove(self, number: int) -> None:
+        subchannel = self.subchannels.pop(number, None)
+        if subchannel is not None:
+            subchannel.ready = False
+            subchannel.post(Update(False, False))
+            subchannel.retire()
+
+    # What the call attempts tell.
+
+    def _attempt_began(self, attempt: CallAttempt) -> None:
+        latency = trio.current_time() - attempt.made_at
+        attempt.rpc.payload = None  # nothing more goes out for it
+        self._post.send_nowait(
+            FirstToken(attempt.rpc.key, attempt.number, attempt.subchannel.number, latency)
+        )
+
+    def _attempt_ended(self, attempt: CallAttempt, report: Report, latency_s: float) -> None:
+        entry = self.open[attempt.rpc.key]
+        entry.out -= 1
+        entry.statuses.append(report.status)
+        entry.attempts[attempt.number] = None
+        if not entry.answered:
+            if report.status is Status.OK:
+                self._finish(entry, Final(Outcome.SERVED, verdict=report.verdict))
+            elif attempt.started:
+                gone = report.status is Status.CANCELLED
+                outcome = Outcome.GONE if gone else Outcome.BROKEN
+                self._finish(entry, Final(outcome, Cause.ENGINE, True))
+        if report.status is not Status.OK:
+            self._log(
+                "info", "ATTEMPT", "call attempt ended without an answer",
+                rpc=attempt.rpc.key, number=attempt.number, subchannel=attempt.subchannel.target.uid,
+                status=report.status.value, started=attempt.started, took_s=round(latency_s, 4),
+                note=report.note,
+            )  # fmt: skip
+        self._post.send_nowait(
+            AttemptEnded(
+                attempt.rpc.key,
+                attempt.number,
+                attempt.subchannel.number,
+                report.status,
+                latency_s,
+                entry.answered,
+                report.cached_tokens,
+                self._row(report),
+            )
+        )
+        self._forget_if_over(entry)
+
+    def _probe_ended(self, subchannel: Subchannel, report: Report, latency_s: float) -> None:
+        self._post.send_nowait(ProbeEnded(subchannel.number, report.status, latency_s, self._row(report)))
+
+    def _row(self, report: Report) -> tuple[float, ...]:
+        """The reported values in the order of the settings; empty when one is missing."""
+        if any(metric not in report.load for metric in self.settings.metrics):
+            return ()
+        return tuple(report.load[metric] for metric in self.settings.metrics)
+
+    # The module's actor.
+
+    async def run(self) -> None:
+        """Hand the module its events, a batch a tick, and carry out its actions."""
+        tick = self.settings.tick_s
+        last = -math.inf
+        async with trio.open_nursery() as self._nursery:
+            for subchannel in self.subchannels.values():
+                self._nursery.start_soon(subchannel.run)
+            while True:
+                events: list[Event] = []
+                with trio.move_on_at(self._timers[0][0] if self._timers else math.inf):
+                    events.append(await self._mailbox.receive())
+                if last + tick > trio.current_time():
+                    await trio.sleep_until(last + tick)
+                last = trio.current_time()
+                try:
+                    while True:
+                        events.append(self._mailbox.receive_nowait())
+                except trio.WouldBlock:
+                    pass
+                self._due(events)
+                if events:
+                    self._decide(events)
+
+    def _due(self, events: list[Event]) -> None:
+        now = trio.current_time()
+        while self._timers and self._timers[0][0] <= now:
+            what = heapq.heappop(self._timers)[2]
+            if isinstance(what, str):
+                events.append(TimerFired(what))
+            elif not what.answered and not what.started:
+                # Guards the first rule: whatever the module does, the client hears before it gives up.
+                self._finish(what, Final(Outcome.FAILED, Cause.DEADLINE, what.may_have_run()))
+                self._abandon(what)
+
+    def _decide(self, events: list[Event]) -> None:
+        try:
+            actions = self._gateway.handle(trio.current_time() + self._epoch, events)
+        except Exception as error:  # a fault in the decisions must not take the open streams with it
+            self._log("err", "MODULE", "the module failed", error=f"{type(error).__name__}: {error}")
+            for event in events:
+                if isinstance(event, RequestArrived | AttemptEnded) and event.request in self.open:
+                    self._give_up(self.open[event.request], Final(Outcome.FAILED))
+            return
+        for action in actions:
+            match action:
+                case Send(request, replica, timeout_s):
+                    self._start(request, replica, timeout_s)
+                case Cancel(request, number):
+                    self._cancel(request, number)
+                case Refuse(request, retry_after_s):
+                    self._end(request, Outcome.REFUSED, retry_after_s)
+                case Fail(request):
+                    self._end(request, Outcome.FAILED, 0.0)
+                case SetTimer(delay_s, token):
+                    self._set_timer(trio.current_time() + delay_s, token)
+                case Probe(replica):
+                    subchannel = self.subchannels.get(replica)
+                    if subchannel is None or not subchannel.ready:
+                        self._post.send_nowait(ProbeEnded(replica, Status.NOT_SENT, 0.0))
+                    else:
+                        subchannel.post(Probing())
+                case Subscribe():
+                    self._subscribe()
+                case TellPeers():
+                    pass  # no platform that this program serves lets routers talk
+
+    def _set_timer(self, at: float, what: str | OpenRPC) -> None:
+        self._timer_count += 1
+        heapq.heappush(self._timers, (at, self._timer_count, what))
+
+    def _start(self, request: str, replica: int, timeout_s: float) -> None:
+        entry = self.open.get(request)
+        if entry is None or entry.answered:
+            return
+        number = len(entry.attempts)
+        subchannel = self.subchannels.get(replica)
+        if subchannel is None or not subchannel.ready or entry.out:
+            # The list has changed under the module, or an attempt is out: two at once must never be.
+            entry.attempts.append(None)
+            entry.statuses.append(Status.NOT_SENT)
+            self._post.send_nowait(AttemptEnded(request, number, replica, Status.NOT_SENT, 0.0, False))
+            return
+        left = entry.rpc.expires_at - trio.current_time()
+        wait = min(timeout_s, left) if timeout_s > 0 else left
+        attempt = CallAttempt(entry.rpc, number, subchannel, wait, self._attempt_began)
+        entry.attempts.append(attempt)
+        entry.out += 1
+        subchannel.post(Start(attempt))
+
+    def _cancel(self, request: str, number: int) -> None:
+        entry = self.open.get(request)
+        attempt = entry.attempts[number] if entry is not None and number < len(entry.attempts) else None
+        if attempt is not None and not attempt.started:
+            attempt.give_up(Status.CANCELLED)
+
+    def _end(self, request: str, outcome: Outcome, retry_after_s: float) -> None:
+        entry = self.open.get(request)
+        if entry is not None:
+            self._give_up(entry, Final(outcome, retry_after_s=retry_after_s))
+
+    def _give_up(self, entry: OpenRPC, final: Final) -> None:
+        """The module has ended it: the client hears at once."""
+        if entry.answered:
+            return
+        if trio.current_time() >= entry.rpc.expires_at:
+            cause = Cause.DEADLINE
+        elif any(s is not Status.FULL for s in entry.statuses):
+            cause = Cause.ENGINE
+        else:
+            cause = Cause.CAPACITY
+        self._finish(entry, Final(final.outcome, cause, entry.may_have_run(), final.retry_after_s))
+        self._forget_if_over(entry)
+
+    def _finish(self, entry: OpenRPC, final: Final) -> None:
+        entry.answered = True
+        entry.rpc.payload = None  # the deadline's timer keeps the entry for a while
+        entry.rpc.sink.finish(final)
+        if final.outcome is not Outcome.SERVED:
+            self._log(
+                "info", "FINAL", "RPC not served",
+                rpc=entry.rpc.key, outcome=final.outcome.value, cause=final.cause.value,
+                attempts=len(entry.attempts),
+            )  # fmt: skip
+
+    def _forget_if_over(self, entry: OpenRPC) -> None:
+        if entry.answered and not entry.out:
+            self.open.pop(entry.rpc.key, None)
+            if not self.open:
+                self._idle.set()
--- /dev/null
+++ b/sorreldock/routing/subchannel.py
@@ -0,0 +1,149 @@
+"""The actor of one engine: it starts, cancels and ends the call attempts that go there."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
+
+from ..interface import Status
+from .types import RPC, EngineClient, Report, SinkClosed, Target
+
+
+class CallAttempt:
+    """One attempt of an RPC at one engine."""
+
+    def __init__(
+        self, rpc: RPC, number: int, subchannel: Subchannel, timeout_s: float, on_first: FirstCallback
+    ) -> None:
+        self.rpc = rpc
+        self.number = number
+        self.subchannel = subchannel
+        self.made_at = trio.current_time()
+        self.scope = trio.CancelScope(deadline=self.made_at + timeout_s)
+        self.sending = False
+        self.started = False
+        self.given_up: Status | None = None  # why the router stopped it, if it did
+        self._on_first = on_first
+
+    def may_send(self) -> bool:
+        # Guards the drain rule: an attempt that was dialling when its engine began to drain is not sent.
+        self.sending = self.subchannel.ready and self.given_up is None
+        return self.sending
+
+    def wait_s(self) -> float:
+        return max(self.scope.deadline - trio.current_time(), 0.0)
+
+    async def event(self, data: bytes) -> None:
+        if not self.started:
+            if self.given_up is not None:  # too late: the core has already given the final answer
+                raise SinkClosed
+            self.started = True
+            self.scope.deadline = math.inf  # once an answer has begun, it has no deadline
+            self._on_first(self)
+        await self.rpc.sink.event(data)
+
+    def give_up(self, status: Status) -> None:
+        if self.given_up is None:
+            self.given_up = status
+            self.scope.cancel()
+
+
+FirstCallback = Callable[[CallAttempt], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    attempt: CallAttempt
+
+
+@dataclass(frozen=True, slots=True)
+class Probing:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class Update:
+    ready: bool
+    restarted: bool
+
+
+Order = Start | Probing | Update
+
+
+class Subchannel:
+    def __init__(
+        self,
+        number: int,
+        target: Target,
+        clients: dict[str, EngineClient],
+        probed_with: str,
+        on_ended: Callable[[CallAttempt, Report, float], None],
+        on_probed: Callable[[Subchannel, Report, float], None],
+    ) -> None:
+        self.number = number
+        self.target = target
+        self.ready = True
+        self.clients = clients
+        self._probed_with = probed_with
+        self._on_ended = on_ended
+        self._on_probed = on_probed
+        self._out: set[CallAttempt] = set()
+        # Orders come from the module alone, so their number is bounded by the open RPCs and its probes.
+        self._send, self._mailbox = trio.open_memory_channel[Order](math.inf)
+
+    def post(self, order: Order) -> None:
+        self._send.send_nowait(order)
+
+    def retire(self) -> None:
+        """No further orders: the actor ends when its attempts have."""
+        self._send.close()
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as attempts:
+            async for order in self._mailbox:
+                match order:
+                    case Start(attempt):
+                        self._out.add(attempt)
+                        attempts.start_soon(self._attempt, attempt)
+                    case Probing():
+                        attempts.start_soon(self._probe)
+                    case Update(ready, restarted):
+                        if not ready:
+                            for attempt in self._out:
+                                if not attempt.sending:
+                                    attempt.give_up(Status.NOT_SENT)
+                        if restarted or not ready:
+                            for client in self.clients.values():
+                                client.close_idle()
+        for client in self.clients.values():
+            client.discard()
+
+    async def _attempt(self, attempt: CallAttempt) -> None:
+        report = None
+        client = self.clients.get(attempt.rpc.protocol)
+        try:
+            with attempt.scope:
+                if client is None:
+                    report = Report(Status.NOT_SENT, note="engine speaks another protocol")
+                elif attempt.given_up is None:
+                    report = await client.call(attempt.rpc, attempt)
+        except SinkClosed:
+            report = Report(Status.CANCELLED, note="client gone")
+        except Exception as error:  # whatever a peer may provoke must not end the program
+            report = Report(Status.RESET, note=f"fault in the engine client: {error!r}")
+        finally:
+            self._out.discard(attempt)
+        if report is None:
+            report = Report(attempt.given_up or Status.TIMEOUT)
+        self._on_ended(attempt, report, trio.current_time() - attempt.made_at)
+
+    async def _probe(self) -> None:
+        began = trio.current_time()
+        try:
+            report = await self.clients[self._probed_with].probe()
+        except Exception as error:  # as above
+            report = Report(Status.RESET, note=f"fault in the engine client: {error!r}")
+        self._on_probed(self, report, trio.current_time() - began)
--- /dev/null
+++ b/sorreldock/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: listeners, dialling, ring-buffered connections, pools and the descriptor budget."""
--- /dev/null
+++ b/sorreldock/transport/budget.py
@@ -0,0 +1,34 @@
+"""The descriptor budget: how many sockets clients and subchannels may hold together."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+
+
+class Use(Enum):
+    CLIENT = "client"
+    ENGINE = "engine"
+
+
+class Descriptors:
+    """Counts the sockets in use. Guards the descriptor limit: past it `accept` and `connect` would fail
+    and the platform may count the program as crashed."""
+
+    RESERVED = 64  # interpreter, log, listeners, discovery, trio's own
+
+    def __init__(self, limit: int) -> None:
+        usable = max(limit - self.RESERVED, 16)
+        self.most = {Use.CLIENT: usable // 2, Use.ENGINE: usable - usable // 2}
+        self.used = {Use.CLIENT: 0, Use.ENGINE: 0}
+        self.evictors: dict[Use, list[Callable[[], bool]]] = {Use.CLIENT: [], Use.ENGINE: []}
+
+    def take(self, use: Use) -> bool:
+        """Claim one; when all are in use, somebody's idle connection is closed for it if there is one."""
+        if self.used[use] >= self.most[use] and not any(evict() for evict in self.evictors[use]):
+            return False
+        self.used[use] += 1
+        return True
+
+    def give_back(self, use: Use) -> None:
+        self.used[use] -= 1
--- /dev/null
+++ b/sorreldock/transport/connection.py
@@ -0,0 +1,109 @@
+"""A TCP connection with one ring buffer a direction."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+
+import trio
+
+from .ring import Ring
+
+RING_BYTES = 16384
+
+
+class ConnectionLost(Exception):
+    """The peer has reset the connection, or the machine behind it is gone."""
+
+
+class DialFailed(Exception):
+    """No connection came up: refused, timed out, or no descriptor to spare."""
+
+
+class Connection:
+    """Bytes in both directions. Reading and writing may go on in two tasks; each alone in one at a time."""
+
+    __slots__ = ("_closed", "_incoming", "_on_close", "_outgoing", "_sock", "written")
+
+    def __init__(self, sock: trio.socket.SocketType, on_close: Callable[[], None]) -> None:
+        self._sock = sock
+        self._on_close = on_close
+        self._closed = False
+        self._incoming = Ring(RING_BYTES)
+        self._outgoing = Ring(RING_BYTES)
+        self.written = 0  # bytes that the kernel has taken
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    async def fill(self) -> int:
+        """Read into the ring and leave it there; 0 at the end. Waits for ever while the ring is full."""
+        if not self._incoming.room:
+            await trio.sleep_forever()
+        try:
+            count = await self._sock.recv_into(self._incoming.free_span())
+        except OSError as error:
+            raise ConnectionLost(str(error)) from None
+        self._incoming.grew(count)
+        return count
+
+    @property
+    def unread(self) -> int:
+        return len(self._incoming)
+
+    async def receive(self) -> bytes:
+        """What has arrived, for the parser; empty at the peer's end."""
+        if not self._incoming:
+            await self.fill()
+        return self._incoming.take()
+
+    async def send(self, data: bytes) -> None:
+        view = memoryview(data)
+        try:
+            while view or self._outgoing:
+                view = view[self._outgoing.put(view) :]
+                sent = await self._sock.send(self._outgoing.held_span())
+                self._outgoing.shrank(sent)
+                self.written += sent
+        except OSError as error:
+            raise ConnectionLost(str(error)) from None
+
+    @property
+    def stale(self) -> bool:
+        """Whether an idle connection has been closed by the peer, or holds bytes that nobody asked for."""
+        return self._closed or bool(self._incoming) or self._sock.is_readable()
+
+    def close(self) -> None:
+        if not self._closed:
+            self._closed = True
+            self._sock.close()
+            self._on_close()
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """The host and port of `10.0.0.4:3000` or `[::1]:3000`; a ValueError says what is wrong."""
+    host, colon, port = address.rpartition(":")
+    if not colon or not host or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"{address!r} is not host:port")
+    return host.strip("[]"), int(port)
+
+
+async def dial(address: str, timeout_s: float, on_close: Callable[[], None]) -> Connection:
+    """Open a connection; calls `on_close` itself if none comes up."""
+    try:
+        host, port = split_address(address)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = trio.socket.socket(family, socket.SOCK_STREAM)
+    except (ValueError, OSError) as error:
+        on_close()
+        raise DialFailed(str(error)) from None
+    try:
+        with trio.fail_after(timeout_s):
+            await sock.connect((host, port))
+        return Connection(sock, on_close)
+    except (OSError, trio.TooSlowError) as error:
+        sock.close()
+        on_close()
+        raise DialFailed(str(error) or "timed out") from None
+    except trio.Cancelled:
+        sock.close()
+        on_close()
+        raise
--- /dev/null
+++ b/sorreldock/transport/listener.py
@@ -0,0 +1,69 @@
+"""A listening socket that gives each connection a task of its own."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from .budget import Descriptors, Use
+from .connection import Connection, split_address
+
+BACKLOG = 512
+
+
+class Listener:
+    def __init__(self, address: str, budget: Descriptors) -> None:
+        host, port = split_address(address)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self._sock = trio.socket.socket(family, socket.SOCK_STREAM)
+        self._budget = budget
+        self._where = (host, port)
+        self._scope = trio.CancelScope()
+
+    async def bind(self) -> str:
+        """Start to listen; tells the address, with the port that the system chose for port 0."""
+        # A router starts again on its address while connections of the killed one linger.
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            await self._sock.bind(self._where)
+        except OSError:
+            self._sock.close()
+            raise
+        self._sock.listen(BACKLOG)
+        name = self._sock.getsockname()
+        return f"[{name[0]}]:{name[1]}" if ":" in name[0] else f"{name[0]}:{name[1]}"
+
+    async def serve(self, nursery: trio.Nursery, handle: Callable[[Connection], Awaitable[None]]) -> None:
+        """Accept until `close`; the connections outlive it in `nursery`."""
+        with self._scope, self._sock:
+            while True:
+                # Guards the descriptor limit: with all in use, newcomers wait in the kernel's backlog.
+                while not self._budget.take(Use.CLIENT):
+                    await trio.sleep(0.01)
+                try:
+                    sock, _ = await self._sock.accept()
+                except OSError:  # the newcomer has gone again, or the system is short of something
+                    self._budget.give_back(Use.CLIENT)
+                    await trio.sleep(0.01)
+                    continue
+                except trio.Cancelled:
+                    self._budget.give_back(Use.CLIENT)
+                    raise
+                try:
+                    connection = Connection(sock, lambda: self._budget.give_back(Use.CLIENT))
+                except OSError:
+                    sock.close()
+                    self._budget.give_back(Use.CLIENT)
+                    continue
+                nursery.start_soon(self._attend, handle, connection)
+
+    async def _attend(self, handle: Callable[[Connection], Awaitable[None]], connection: Connection) -> None:
+        try:
+            await handle(connection)
+        finally:
+            connection.close()
+
+    def close(self) -> None:
+        self._scope.cancel()
--- /dev/null
+++ b/sorreldock/transport/pool.py
@@ -0,0 +1,81 @@
+"""A subchannel's pool of connections that have a parser each and carry one call at a time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Generic, Protocol, TypeVar
+
+import trio
+
+from .budget import Descriptors, Use
+from .connection import Connection, DialFailed, dial
+
+
+class Line(Protocol):
+    """A connection with its parser."""
+
+    @property
+    def connection(self) -> Connection: ...
+
+
+L = TypeVar("L", bound=Line)
+
+
+class Pool(Generic[L]):
+    # An engine closes a connection that stood idle for `conn_idle_s`, and what is written to it from then on
+    # ends in a reset. Guards against that race: nothing idle for more than this share of it is used again.
+    REUSED_BEFORE = 0.75
+
+    def __init__(
+        self,
+        address: str,
+        wrap: Callable[[Connection], L],
+        budget: Descriptors,
+        connect_timeout_s: float,
+        conn_idle_s: float,
+    ) -> None:
+        self.address = address
+        self._wrap = wrap
+        self._budget = budget
+        self._connect_timeout_s = connect_timeout_s
+        self._reusable_s = conn_idle_s * self.REUSED_BEFORE
+        self._idle: list[tuple[float, L]] = []  # the last one put back is the first one taken
+        budget.evictors[Use.ENGINE].append(self.evict)
+
+    async def get(self) -> L:
+        """An idle line, else a new one; DialFailed when none comes up."""
+        while self._idle:
+            since, line = self._idle.pop()
+            if trio.current_time() - since < self._reusable_s and not line.connection.stale:
+                return line
+            line.connection.close()
+        if not self._budget.take(Use.ENGINE):
+            raise DialFailed("no descriptor to spare")
+        on_close = lambda: self._budget.give_back(Use.ENGINE)  # noqa: E731
+        return self._wrap(await dial(self.address, self._connect_timeout_s, on_close))
+
+    def put(self, line: L) -> None:
+        self._idle.append((trio.current_time(), line))
+
+    def evict(self) -> bool:
+        """Close the connection that has been idle longest, for somebody else's use."""
+        if not self._idle:
+            return False
+        self._idle.pop(0)[1].connection.close()
+        return True
+
+    def trim(self) -> None:
+        """Close what has been idle too long to be used again."""
+        now = trio.current_time()
+        while self._idle and now - self._idle[0][0] >= self._reusable_s:
+            self.evict()
+
+    def close_idle(self) -> None:
+        while self.evict():
+            pass
+
+    def discard(self) -> None:
+        """The subchannel is gone: close what is idle and leave the budget's list."""
+        self.close_idle()
+        if self.evict in self._budget.evictors[Use.ENGINE]:
+            self._budget.evictors[Use.ENGINE].remove(self.evict)
--- a/sorreldock/wire.py
+++ b/sorreldock/wire.py
@@ -385,6 +385,8 @@
             retry_advice=limits.flag("retry_after"),
             max_retry_after_s=limits.number("max_retry_after_s", 0.0),
             resume_streams=family.flag("resume"),
+            connect_timeout_s=limits.number("connect_timeout_s", 0.2),
+            conn_idle_s=limits.number("conn_idle_s", 60.0),
         ),
         prices=Prices(
             cross_zone=prices.number("cross_zone", 0.0),
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,51 @@
+"""Modules go by layer: which may import which."""
+
+from __future__ import annotations
+
+import ast
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent / "sorreldock"
+ALLOWED = {
+    "routing": {"routing"},
+    "transport": {"transport"},
+    "protocol": {"protocol", "transport", "routing.types", "routing.core"},
+    "program": {"program", "protocol", "transport", "routing"},
+}
+INHERITED = {"interface", "rules", "wire"}
+
+
+def imports(path: Path) -> set[str]:
+    """The package's own modules that a file imports, by their names below `sorreldock`."""
+    package = path.relative_to(ROOT).parts[:-1]
+    found: set[str] = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.level:
+            base = package[: len(package) - node.level + 1]
+            found.add(".".join([*base, *filter(None, [node.module])]))
+        elif isinstance(node, ast.ImportFrom) and (node.module or "").startswith("sorreldock."):
+            found.add((node.module or "").removeprefix("sorreldock."))
+    return found - {""}
+
+
+@pytest.mark.parametrize("layer", ALLOWED)
+def test_a_layer_imports_only_what_it_may(layer: str) -> None:
+    files = list((ROOT / layer).rglob("*.py"))
+    assert files
+    for path in files:
+        for name in imports(path):
+            inside = any(name == a or name.startswith(f"{a}.") for a in ALLOWED[layer])
+            assert inside or name in INHERITED, f"{path.name} imports {name}"
+
+
+def test_the_core_and_the_platform_path_know_no_grpc() -> None:
+    code = (
+        "import sys, sorreldock.program.serve, sorreldock.program.cli\n"
+        "assert not [m for m in sys.modules if m.split('.')[0] in ('h2', 'hpack', 'google', 'grpc')"
+        " or 'kserve' in m]"
+    )
+    assert subprocess.run([sys.executable, "-c", code], cwd=ROOT.parent, timeout=60).returncode == 0
