--- a/sorreldock/program/serve.py
+++ b/sorreldock/program/serve.py
@@ -4,15 +4,18 @@
 
 import gc
 import signal
+from typing import Protocol
 
 import trio
 
+from .. import __version__
 from ..protocol.http.client import HttpEngineClient
 from ..protocol.http.discovery import Resolver
 from ..protocol.http.front import HttpFront
 from ..routing.core import Core
 from ..routing.types import EngineClient
 from ..transport.budget import Descriptors
+from ..transport.connection import Connection
 from ..transport.listener import Listener
 from .config import Config
 from .phases import Lifecycle, Phase
@@ -22,6 +25,21 @@
 TRIM_S = 5.0
 
 
+class Front(Protocol):
+    """What serves the connections of one protocol's clients."""
+
+    async def handle(self, connection: Connection) -> None: ...
+
+    async def linger(self) -> None:
+        """Told to stop: take what still comes, and tell clients to go elsewhere."""
+
+    async def drain(self) -> None:
+        """Take nothing new, and end what is idle."""
+
+    async def closed(self, within_s: float) -> None:
+        """Wait until the last answer has been written."""
+
+
 class Program:
     def __init__(self, config: Config) -> None:
         self.config = config
@@ -30,6 +48,8 @@
         self.log = self.syslog.log
         self.lifecycle = Lifecycle(lambda phase: self.log("notice", "PHASE", phase.value))
         self.budget = Descriptors(config.sockets)
+        self.fronts: dict[str, Front] = {}
+        self.listeners: dict[str, Listener] = {}
         self.addresses: dict[str, str] = {}  # where each front listens, by protocol
         self.serving = trio.Event()
 
@@ -44,6 +64,13 @@
             clients["http"] = HttpEngineClient(
                 endpoint, self.budget, limits.connect_timeout_s, limits.conn_idle_s, probe_path
             )
+        if "kserve" in self.config.operator.engine_protocols:
+            # Only here: the platform's path has no use for the gRPC code and its memory.
+            from ..protocol.kserve.client import KserveEngineClient
+
+            clients["kserve"] = KserveEngineClient(
+                endpoint, self.budget, limits.connect_timeout_s, limits.conn_idle_s
+            )
         return clients
 
     async def run(self) -> None:
@@ -51,35 +78,65 @@
         self.resolver = Resolver(
             config.discovery, config.known.version, lambda r: self.core.resolved(r), self.log
         )
-        self.core = Core(config.settings, config.seed, self._connect, self.resolver.subscribe, self.log)
+        probed_with = "http" if "http" in config.operator.engine_protocols else "kserve"
+        self.core = Core(
+            config.settings,
+            config.seed,
+            self._connect,
+            self.resolver.subscribe,
+            self.log,
+            probed_with=probed_with,
+        )
         self.core.resolved(config.known)
-        front = HttpFront(self.core, self.ready, self.budget, self.log)
-        listener = Listener(config.listen, self.budget)
-        self.addresses["http"] = await listener.bind()
+        self._open_fronts()
+        for protocol, listener in self.listeners.items():
+            self.addresses[protocol] = await listener.bind()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.syslog.run)
             nursery.start_soon(self.core.run)
             nursery.start_soon(self.resolver.run)
             nursery.start_soon(self._trim)
             nursery.start_soon(self._signals)
-            nursery.start_soon(listener.serve, nursery, front.handle)
+            for protocol, listener in self.listeners.items():
+                nursery.start_soon(listener.serve, nursery, self.fronts[protocol].handle)
             self.lifecycle.enter(Phase.SERVING)
             gc.collect()
             gc.freeze()  # what lives from the start on need not be walked again in every collection
             self.serving.set()
             await self.lifecycle.stop_asked.wait()
             self.lifecycle.enter(Phase.LINGERING)
-            front.draining = True
+            for front in self.fronts.values():
+                await front.linger()
             await trio.sleep(LINGER_S)
-            listener.close()
+            for listener in self.listeners.values():
+                listener.close()
             self.lifecycle.enter(Phase.DRAINING)
-            front.close_idle()
+            for front in self.fronts.values():
+                await front.drain()
             await self.core.drained()
-            await front.closed(2.0)
+            for front in self.fronts.values():
+                await front.closed(2.0)
             self.lifecycle.enter(Phase.STOPPED)
             await self.syslog.flush(0.5)
             nursery.cancel_scope.cancel()
 
+    def _open_fronts(self) -> None:
+        operator = self.config.operator
+        if operator.http:
+            self.fronts["http"] = HttpFront(self.core, self.ready, self.budget, self.log)
+            self.listeners["http"] = Listener(self.config.listen, self.budget)
+        if operator.kserve is not None:
+            from ..protocol.kserve.front import FrontSettings, KserveFront
+
+            kserve = operator.kserve
+            settings = FrontSettings(
+                kserve.models, kserve.default_class, kserve.default_tenant, kserve.keepalive_s
+            )
+            self.fronts["kserve"] = KserveFront(
+                self.core, settings, __version__, self.ready, self.budget, self.log
+            )
+            self.listeners["kserve"] = Listener(kserve.listen, self.budget)
+
     async def _signals(self) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
--- a/sorreldock/protocol/http/client.py
+++ b/sorreldock/protocol/http/client.py
@@ -30,6 +30,9 @@
         self.connection = connection
         self.parser = h11.Connection(h11.CLIENT)
 
+    async def usable(self) -> bool:
+        return not self.connection.stale
+
     async def next_event(self) -> h11.Event:
         while True:
             event = self.parser.next_event()
--- a/sorreldock/protocol/http/front.py
+++ b/sorreldock/protocol/http/front.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable
 
 import h11
 import trio
 
-from ...routing.core import Core, Overloaded
-from ...routing.types import RPC, Final, Log, Outcome, SinkClosed
+from ...routing.types import RPC, Final, Log, Outcome, Overloaded, Router, SinkClosed
 from ...transport.budget import Descriptors, Use
 from ...transport.connection import Connection, ConnectionLost
 from .fields import SERVED_PATH, BadRequest, rpc_from
@@ -252,7 +250,7 @@
 
 
 class HttpFront:
-    def __init__(self, core: Core, is_ready: Callable[[], bool], budget: Descriptors, log: Log) -> None:
+    def __init__(self, core: Router, is_ready: Callable[[], bool], budget: Descriptors, log: Log) -> None:
         self.core = core
         self.is_ready = is_ready
         self.draining = False  # answers say `Connection: close`
@@ -279,14 +277,16 @@
             client.waiting.cancel()
         return False
 
-    def close_idle(self) -> None:
+    async def linger(self) -> None:
+        self.draining = True
+
+    async def drain(self) -> None:
         """Close connections between requests, now and from now on."""
         self.closing = True
         for client in self._clients:
             client.waiting.cancel()
 
     async def closed(self, within_s: float) -> None:
-        """Wait until the last answer has been written."""
-        with trio.move_on_after(within_s if within_s > 0 else math.inf):
+        with trio.move_on_after(within_s):
             while self._clients:
                 await trio.sleep(0.01)
--- /dev/null
+++ b/sorreldock/protocol/kserve/client.py
@@ -0,0 +1,260 @@
+"""Call attempts and probes at an engine that speaks KServe v2 over gRPC: one stream a connection."""
+
+from __future__ import annotations
+
+import h2.errors
+import h2.events
+import h2.exceptions
+import trio
+from google.protobuf.message import DecodeError
+
+from ...interface import Metric, Status
+from ...routing.types import RPC, CallProgress, Report
+from ...transport.budget import Descriptors
+from ...transport.connection import Connection, ConnectionLost, DialFailed
+from ...transport.pool import Pool
+from ..loads import HEADER, parse_load
+from . import kserve_pb2 as pb
+from .front import HOP, KservePayload
+from .grpc import (
+    LARGEST_ANSWER,
+    SERVICE,
+    Code,
+    GrpcError,
+    H2Wire,
+    Headers,
+    Unframer,
+    format_timeout,
+    frame,
+    status_of,
+)
+
+SILENCE_S = 3.5  # as with the platform's engines: a vanished machine says nothing
+PROBE_S = 0.25
+LOAD = HEADER.lower()
+# The request is at fault, not the engine: another would say the same, so the client gets this word as it is.
+VERDICTS = (Code.INVALID_ARGUMENT, Code.NOT_FOUND, Code.FAILED_PRECONDITION, Code.UNIMPLEMENTED)
+
+
+class NeverTaken(ConnectionLost):
+    """HTTP/2's own proof that a stream was not processed: REFUSED_STREAM, or a GOAWAY that leaves it out."""
+
+
+class Exchange:
+    """One stream, from its request to its trailers."""
+
+    def __init__(self, line: EngineLine, number: int) -> None:
+        self.line = line
+        self.number = number
+        self.unframer = Unframer(LARGEST_ANSWER)
+        self.headers: dict[str, str] = {}
+        self.trailers: Headers = []
+        self.ended = False
+
+    async def step(self) -> None:
+        """Read once from the connection, and take what arrived."""
+        wire = self.line.wire
+        data = await wire.connection.receive()
+        if not data:
+            raise ConnectionLost("closed by the engine")
+        for event in wire.h2.receive_data(data):
+            wire.noticed(event)
+            self.take(event)
+        await wire.flush()
+
+    def take(self, event: h2.events.Event) -> None:
+        match event:
+            case h2.events.ConnectionTerminated():
+                self.line.going = True
+                if event.last_stream_id is not None and event.last_stream_id < self.number:
+                    raise NeverTaken("left out by a GOAWAY")
+                if event.error_code:
+                    raise ConnectionLost(f"GOAWAY with error {event.error_code}")
+            case _ if getattr(event, "stream_id", None) != self.number:
+                pass
+            case h2.events.ResponseReceived():
+                self.headers = {str(k): str(v) for k, v in event.headers or []}
+                self.trailers = [(str(k), str(v)) for k, v in event.headers or []]  # if trailers alone come
+            case h2.events.TrailersReceived():
+                self.trailers = [(str(k), str(v)) for k, v in event.headers or []]
+            case h2.events.DataReceived():
+                self.unframer.feed(event.data or b"")
+                self.line.wire.consumed(self.number, event.flow_controlled_length or 0)
+            case h2.events.StreamEnded():
+                self.ended = True
+            case h2.events.StreamReset():
+                if event.error_code == h2.errors.ErrorCodes.REFUSED_STREAM:
+                    raise NeverTaken("REFUSED_STREAM")
+                if not self.ended:
+                    raise ConnectionLost(f"stream reset with error {event.error_code}")
+
+    async def send(self, data: bytes) -> None:
+        """The request, as the engine gives room for it; an answer that comes before its end stops it."""
+        wire, view = self.line.wire, memoryview(data)
+        while view and not self.ended:
+            room = wire.room(self.number)
+            if room > 0:
+                chunk = bytes(view[:room])
+                view = view[room:]
+                wire.h2.send_data(self.number, chunk, end_stream=not view)
+                await wire.flush()
+            else:
+                await wire.flush()
+                await self.step()
+
+    async def message(self) -> bytes | None:
+        """The answer's next message; None at its end."""
+        while True:
+            message = self.unframer.next()
+            if message is not None:
+                return message
+            if self.ended:
+                if self.unframer.partial:
+                    raise ConnectionLost("the last message is cut off")
+                return None
+            await self.step()
+
+    def status(self) -> tuple[int, str]:
+        return status_of(dict(self.trailers))
+
+    def load(self) -> dict[Metric, float]:
+        text = dict(self.trailers).get(LOAD) or self.headers.get(LOAD, "")
+        return parse_load(text)
+
+
+class EngineLine:
+    """A connection to an engine, with its HTTP/2 state."""
+
+    def __init__(self, connection: Connection) -> None:
+        self.connection = connection
+        self.wire = H2Wire(connection, client_side=True, most_streams=0)
+        self.going = False
+
+    async def usable(self) -> bool:
+        """Take what came while the connection was idle: settings, pings, or the engine's farewell."""
+        try:
+            while self.connection.readable:
+                data = await self.connection.receive()
+                if not data:
+                    return False
+                for event in self.wire.h2.receive_data(data):
+                    self.wire.noticed(event)
+                    if isinstance(event, h2.events.ConnectionTerminated):
+                        return False
+        except (ConnectionLost, h2.exceptions.ProtocolError):
+            return False
+        return not self.going
+
+    def open(self, method: str, authority: str, timeout_s: float, metadata: Headers) -> Exchange:
+        number = self.wire.h2.get_next_available_stream_id()
+        headers = [
+            (":method", "POST"),
+            (":scheme", "http"),
+            (":path", f"/{SERVICE}/{method}"),
+            (":authority", authority),
+            ("te", "trailers"),
+            ("content-type", "application/grpc"),
+            ("grpc-timeout", format_timeout(timeout_s)),
+            *metadata,
+        ]
+        self.wire.h2.send_headers(number, headers)
+        return Exchange(self, number)
+
+
+class KserveEngineClient:
+    def __init__(
+        self, address: str, budget: Descriptors, connect_timeout_s: float, conn_idle_s: float
+    ) -> None:
+        self._address = address
+        self._pool = Pool(address, EngineLine, budget, connect_timeout_s, conn_idle_s)
+        self.close_idle = self._pool.close_idle
+        self.discard = self._pool.discard
+        self.trim = self._pool.trim
+
+    async def call(self, rpc: RPC, progress: CallProgress) -> Report:
+        payload = rpc.payload
+        assert isinstance(payload, KservePayload)
+        try:
+            line = await self._pool.get()
+        except DialFailed as error:
+            return Report(Status.CONNECT_FAILED, note=str(error))
+        clean = False
+        try:
+            if not progress.may_send():
+                clean = True
+                return Report(Status.NOT_SENT, note="drained while dialling")
+            try:
+                exchange = line.open(payload.method, self._address, progress.wait_s(), payload.metadata)
+                await exchange.send(frame(payload.message))
+            except NeverTaken as error:
+                return Report(Status.FULL, note=str(error))
+            except (ConnectionLost, h2.exceptions.ProtocolError) as error:
+                # Its last byte was not written: it never ran, and the transport never sends it again.
+                return Report(Status.CONNECT_FAILED, note=str(error))
+            del payload
+            try:
+                report = await self._answer(exchange, progress)
+            except NeverTaken as error:
+                return Report(Status.FULL, note=str(error))
+            except (ConnectionLost, h2.exceptions.ProtocolError, GrpcError) as error:
+                return Report(Status.RESET, note=str(error))
+            clean = exchange.ended and not line.going
+            return report
+        finally:
+            if clean:
+                self._pool.put(line)
+            else:  # which gives the attempt up: a client's cancel reaches the engine so
+                line.connection.close()
+
+    async def _answer(self, exchange: Exchange, progress: CallProgress) -> Report:
+        started = False
+        while True:
+            with trio.move_on_after(SILENCE_S if started else float("inf")) as silence:
+                message = await exchange.message()
+            if silence.cancelled_caught:
+                raise ConnectionLost("silent within a stream")
+            if message is None:
+                return self._ending(exchange, started)
+            started = True
+            await progress.event(message)
+
+    @staticmethod
+    def _ending(exchange: Exchange, started: bool) -> Report:
+        code, text = exchange.status()
+        load = exchange.load()
+        names = dict(exchange.trailers)
+        metadata = [
+            (k, v) for k, v in exchange.trailers if not HOP.match(k) and k not in (LOAD, "x-never-ran")
+        ]
+        if code == Code.OK:
+            return Report(Status.OK, load)
+        if not started and code in VERDICTS:
+            return Report(Status.OK, load, verdict=GrpcError(code, text, metadata))
+        if not started and names.get("x-never-ran") == "1":
+            return Report(Status.FULL, load, note=f"grpc-status {code}")
+        return Report(Status.ERROR, load, note=f"grpc-status {code}: {text}")
+
+    async def probe(self) -> Report:
+        with trio.move_on_after(PROBE_S):
+            try:
+                line = await self._pool.get()
+            except DialFailed as error:
+                return Report(Status.CONNECT_FAILED, note=str(error))
+            clean = False
+            try:
+                exchange = line.open("ServerReady", self._address, PROBE_S, [])
+                await exchange.send(frame(b""))
+                message = await exchange.message()
+                while await exchange.message() is not None:
+                    pass
+                clean = not line.going
+                ready = pb.ServerReadyResponse.FromString(message or b"").ready
+                return Report(Status.OK if ready else Status.FULL, exchange.load())
+            except (ConnectionLost, h2.exceptions.ProtocolError, GrpcError, DecodeError) as error:
+                return Report(Status.RESET, note=str(error))
+            finally:
+                if clean:
+                    self._pool.put(line)
+                else:
+                    line.connection.close()
+        return Report(Status.TIMEOUT)
--- a/sorreldock/routing/core.py
+++ b/sorreldock/routing/core.py
@@ -5,7 +5,7 @@
 import heapq
 import math
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Mapping
 
 import trio
 
@@ -24,6 +24,7 @@
     ReplicaList,
     ReplicaState,
     RequestArrived,
+    RequestClass,
     Send,
     SetTimer,
     Settings,
@@ -34,7 +35,7 @@
 )
 from ..rules import Gateway, key_of
 from .subchannel import CallAttempt, Probing, Start, Subchannel, Update
-from .types import RPC, Cause, Connect, Final, Log, Outcome, Report, ResolverResult, Target
+from .types import RPC, Cause, Connect, Final, Log, Outcome, Overloaded, Report, ResolverResult, Target
 
 NEVER_RAN = (Status.FULL, Status.CONNECT_FAILED, Status.NOT_SENT)
 # The final answer has to land before the client gives up, and its clock started a journey earlier than ours.
@@ -42,10 +43,6 @@
 OVERDUE_S = 0.02  # after this the core answers by itself what the module has left open
 
 
-class Overloaded(Exception):
-    """As many RPCs are open as there may be."""
-
-
 class OpenRPC:
     """An RPC from its arrival to its one final answer, and until its last attempt has ended."""
 
@@ -78,8 +75,8 @@
         probed_with: str = "http",
     ) -> None:
         self.settings = settings
-        self.classes = {c.name for c in settings.classes}
-        self.tenants = {t.name for t in settings.tenants}
+        self.classes: Mapping[str, RequestClass] = {c.name: c for c in settings.classes}
+        self.tenants: Collection[str] = {t.name for t in settings.tenants}
         self.open: dict[str, OpenRPC] = {}
         self.subchannels: dict[int, Subchannel] = {}
         self._gateway = Gateway(settings, seed)
--- a/sorreldock/routing/types.py
+++ b/sorreldock/routing/types.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
 
-from ..interface import ListKind, Metric, ReplicaState, Status
+from ..interface import ListKind, Metric, ReplicaState, RequestClass, Status
 
 
 class Outcome(Enum):
@@ -73,6 +73,23 @@
     key: str = ""  # the core's own id; set by the core
 
 
+class Overloaded(Exception):
+    """As many RPCs are open as there may be."""
+
+
+class Router(Protocol):
+    """The core, as a front sees it."""
+
+    classes: Mapping[str, RequestClass]
+    tenants: Collection[str]
+
+    def submit(self, rpc: RPC) -> None:
+        """Take an RPC, whose sink gets exactly one final answer; Overloaded when there are too many."""
+
+    def client_gone(self, rpc: RPC) -> None:
+        """The client has left; of no effect once the RPC is answered."""
+
+
 @dataclass(frozen=True, slots=True)
 class Report:
     """How an attempt or a probe ended."""
--- a/sorreldock/transport/connection.py
+++ b/sorreldock/transport/connection.py
@@ -66,10 +66,15 @@
         except OSError as error:
             raise ConnectionLost(str(error)) from None
 
+    @property
+    def readable(self) -> bool:
+        """Whether something has arrived, be it the peer's end."""
+        return not self._closed and (bool(self._incoming) or self._sock.is_readable())
+
     @property
     def stale(self) -> bool:
         """Whether an idle connection has been closed by the peer, or holds bytes that nobody asked for."""
-        return self._closed or bool(self._incoming) or self._sock.is_readable()
+        return self._closed or self.readable
 
     def close(self) -> None:
         if not self._closed:
--- a/sorreldock/transport/pool.py
+++ b/sorreldock/transport/pool.py
@@ -17,6 +17,9 @@
     @property
     def connection(self) -> Connection: ...
 
+    async def usable(self) -> bool:
+        """Whether an idle one still carries a call."""
+
 
 L = TypeVar("L", bound=Line)
 
@@ -46,7 +49,7 @@
         """An idle line, else a new one; DialFailed when none comes up."""
         while self._idle:
             since, line = self._idle.pop()
-            if trio.current_time() - since < self._reusable_s and not line.connection.stale:
+            if trio.current_time() - since < self._reusable_s and await line.usable():
                 return line
             line.connection.close()
         if not self._budget.take(Use.ENGINE):
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,281 @@
+"""Stories of the platform's front: clients, engines and discovery over loopback sockets."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+import trio.testing
+from peers import EVENTS, FIELDS, Call, Discovery, Engine, among, story
+
+from sorreldock.program.phases import Phase
+from sorreldock.protocol.http import client as engine_client
+from sorreldock.protocol.http import discovery as resolver
+from sorreldock.protocol.http import front as http_front
+from sorreldock.transport.pool import Pool
+
+
+async def refuse(call: Call) -> None:
+    await call.answer(503, x_never_ran="1", endpoint_load_metrics="TEXT eps=0.0, queue=9")
+
+
+async def fail(call: Call) -> None:
+    await call.answer(500)
+
+
+async def hang(call: Call) -> None:
+    await call.left()
+
+
+async def begin_and_reset(call: Call) -> None:
+    await call.start(EVENTS[0])
+
+
+@story
+async def test_an_answer_passes_on_unchanged_and_the_request_too() -> None:
+    engine = Engine()
+    async with among(engine) as router:
+        got = await router.post(b'{"model":"chat"}')
+    assert (got.status, got.body, got.whole) == (200, b"".join(EVENTS), True)
+    [call] = engine.calls
+    assert (call.head.method, call.head.target, call.body) == (
+        b"POST", b"/v1/chat/completions?x=1", b'{"model":"chat"}',
+    )  # fmt: skip
+    assert call.headers["x-trace-id"] == FIELDS["x_trace_id"]
+    assert 1e6 < int(call.headers["x-expires-in"].removesuffix("u")) < 2e6
+
+
+@story
+async def test_events_pass_on_as_they_come() -> None:
+    more = trio.Event()
+
+    async def slowly(call: Call) -> None:
+        await call.start(EVENTS[0])
+        await more.wait()
+        await call.more(EVENTS[1])
+        await call.end()
+
+    async with among(Engine(slowly)) as router:
+        wire = await router.start_post()
+        assert (await wire.next()).status_code == 200
+        assert (await wire.next()).data == EVENTS[0]
+        more.set()
+        assert (await wire.next()).data == EVENTS[1]
+
+
+@pytest.mark.parametrize("script, never_ran", [(refuse, True), (fail, False), (begin_and_reset, False)])
+@story
+async def test_an_attempt_that_ends_badly(script: object, never_ran: bool) -> None:
+    first, second = Engine(), Engine()
+    first.scripts, second.scripts = [script], [script]  # type: ignore[list-item]
+    async with among(first, second) as router:
+        got = await router.post()
+    if script is begin_and_reset:  # it belongs to the client: nothing more goes out, and no last chunk
+        assert (got.status, got.body, got.whole) == (200, EVENTS[0], False)
+        assert len(first.calls) + len(second.calls) == 1
+    else:
+        assert got.status == 503 and len(first.calls) == len(second.calls) == 1
+        assert max(first.most_out, second.most_out) == 1
+
+
+@story
+async def test_an_rpc_that_the_module_gives_up_is_answered_at_once() -> None:
+    async with among(Engine(refuse)) as router:
+        began = trio.current_time()
+        got = await router.post(x_expires_in="4000m")
+        assert got.status == 503 and trio.current_time() - began < 1.0
+
+
+@story
+async def test_the_deadline_runs_until_the_first_event_and_no_longer() -> None:
+    async def late(call: Call) -> None:
+        await call.start(EVENTS[0])
+        await trio.sleep(0.3)  # longer than the deadline that no longer runs
+        await call.more(*EVENTS[1:])
+        await call.end()
+
+    async with among(Engine(late)) as router:
+        assert (await router.post(x_expires_in="200m")).whole
+    async with among(Engine(hang)) as router:
+        began = trio.current_time()
+        got = await router.post(x_expires_in="300m")
+        assert got.status in (503, 504) and trio.current_time() - began < 0.3
+
+
+@story
+async def test_a_client_that_leaves_gives_up_its_attempt() -> None:
+    left = trio.Event()
+
+    async def until_left(call: Call) -> None:
+        await call.start(EVENTS[0])
+        await call.left()
+        left.set()
+
+    async with among(Engine(until_left)) as router:
+        wire = await router.start_post()
+        await wire.next()
+        await wire.stream.aclose()
+        await left.wait()
+
+
+@story
+async def test_an_engine_gone_silent_within_a_stream_is_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(engine_client, "SILENCE_S", 0.1)
+
+    async def silent(call: Call) -> None:
+        await call.start(EVENTS[0])
+        await call.left()
+
+    async with among(Engine(silent)) as router:
+        got = await router.post()
+    assert (got.body, got.whole) == (EVENTS[0], False)
+
+
+@story
+async def test_connections_are_reused_but_not_near_the_engines_idle_limit(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    engine = Engine()
+    async with among(engine) as router:
+        for _ in range(3):
+            await router.post()
+        assert engine.connections == 1
+        monkeypatch.setattr(Pool, "REUSED_BEFORE", 0.0)
+    engine = Engine()
+    async with among(engine) as router:
+        await router.post()
+        await router.post()
+    assert engine.connections == 2
+
+
+@story
+async def test_nothing_new_goes_to_an_engine_that_drains() -> None:
+    first, second = Engine(), Engine()
+    discovery = Discovery(first, second)
+    async with among(first, second, discovery=discovery) as router:
+        await discovery.watching.wait()
+        discovery.tell(e0="Terminating")
+        while router.program.core.can_serve() and all(
+            s.ready for s in router.program.core.subchannels.values()
+        ):
+            await trio.sleep(0.005)
+        for _ in range(8):
+            assert (await router.post(x_object=None)).whole
+    assert (len(first.calls), len(second.calls)) == (0, 8)
+
+
+@story
+async def test_a_watch_that_is_refused_ends_or_stalls_is_asked_for_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(resolver, "STALL_S", 0.1)
+    engine = Engine()
+    discovery = Discovery(engine)
+    discovery.refuse = 1
+    async with among(engine, discovery=discovery):
+        while discovery.watches < 3:  # the first is refused, the second stalls
+            await trio.sleep(0.01)
+
+
+@story
+async def test_what_is_wrong_with_a_request_is_said() -> None:
+    async with among(Engine()) as router:
+        assert (await router.ask("GET", "/up")).status == 200
+        for bad in (
+            {"x_trace_id": None}, {"x_qos": "nothing"}, {"x_customer": "nobody"}, {"x_expires_in": "4s"},
+            {"x_expires_in": "0m"}, {"x_second_try": "2"}, {"x_props": "prompt_len=many"},
+        ):  # fmt: skip
+            assert (await router.post(**bad)).status == 400, bad
+        assert (await router.ask("GET", "/nowhere")).status == 404
+        wrong = await router.ask("GET", "/v1/chat/completions")
+        assert (wrong.status, wrong.headers["allow"]) == (405, "POST")
+        assert (await router.post(b"x" * (256 * 1024 + 1))).status == 413
+        assert (await router.post(b"x" * (256 * 1024))).status == 200
+        wire = await router.connect()
+        await wire.stream.send_all(b"GARBAGE\r\n\r\n")
+        assert b" 400 " in await wire.stream.receive_some(100)
+
+
+@story
+async def test_a_slow_head_and_a_vanished_sender_hurt_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(http_front, "HEAD_S", 0.05)
+    async with among(Engine()) as router:
+        wire = await router.connect()
+        await wire.stream.send_all(b"POST /v1/chat")
+        assert b" 408 " in await wire.stream.receive_some(100)
+        wire = await router.connect()
+        await wire.stream.send_all(
+            b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nab"
+        )
+        await wire.stream.aclose()
+        assert (await router.post()).whole
+
+
+@story
+async def test_a_slow_reader_slows_its_engine_and_loses_nothing() -> None:
+    sent = 0
+    chunk = b"data: " + b"x" * 60000 + b"\n\n"
+
+    async def flood(call: Call) -> None:
+        nonlocal sent
+        await call.start()
+        for _ in range(400):
+            await call.more(chunk)
+            sent += 1
+        await call.end()
+
+    async with among(Engine(flood)) as router:
+        wire = await router.start_post()
+        await wire.next()
+        await trio.testing.wait_all_tasks_blocked(0.1)  # until nothing moves any more
+        assert 0 < sent < 400
+        got = b""
+        while hasattr(event := await wire.next(), "data"):
+            got += event.data
+        assert got == chunk * 400
+
+
+@story
+async def test_sigterm_answers_all_that_was_taken_and_ends() -> None:
+    finish = trio.Event()
+
+    async def slowly(call: Call) -> None:
+        await call.start(EVENTS[0])
+        await finish.wait()
+        await call.more(*EVENTS[1:])
+        await call.end()
+
+    async with among(Engine(slowly)) as router:
+        idle = await router.connect()
+        wire = await router.start_post()
+        await wire.next()
+        program = router.program
+        program.lifecycle.stop_asked.set()
+        while program.lifecycle.phase is not Phase.LINGERING:
+            await trio.sleep(0.005)
+        assert (await router.ask("GET", "/up")).status == 503  # still accepting, but no longer for work
+        late = await router.start_post()
+        while program.lifecycle.phase is not Phase.DRAINING:
+            await trio.sleep(0.005)
+        assert await idle.stream.receive_some(1) == b""
+        finish.set()
+        for taken in (wire, late):
+            body = b""
+            while hasattr(event := await taken.next(), "data") or hasattr(event, "status_code"):
+                body += getattr(event, "data", b"")
+            assert type(event).__name__ == "EndOfMessage" and body == b"".join(EVENTS)
+
+
+@story
+async def test_pipelined_requests_get_their_answers_in_order() -> None:
+    engine = Engine()
+    async with among(engine) as router:
+        wire = await router.connect()
+        one = (
+            b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Trace-Id: %s\r\nX-Qos: alt-text\r\n"
+            b"X-Customer: acme\r\nX-Expires-In: 2000m\r\nContent-Length: 2\r\n\r\n{}"
+        )
+        await wire.stream.send_all(one % b"t1" + one % b"t2")
+        data = b""
+        while data.count(b"\r\n0\r\n\r\n") < 2:
+            data += await wire.stream.receive_some(4096)
+    assert [c.headers["x-trace-id"] for c in engine.calls] == ["t1", "t2"]
