Keep client connections beyond their second request: one cancel scope a wait

Cause: ClientConnection.waiting was made once and entered for each request. Ruled out: load reports (raw text printed: all are read, in answers, probes and stream ends).

--- a/sorreldock/protocol/http/front.py
+++ b/sorreldock/protocol/http/front.py
@@ -37,8 +37,9 @@
         self.front = front
         self.connection = connection
         self.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=LARGEST_HEAD)
-        self.waiting = trio.CancelScope()  # cancelled to close the connection between requests
-        self.idle = False
+        # Cancelled to close the connection between requests. A scope serves once, so there is one a wait:
+        # with a single one every kept connection died at its second request.
+        self.waiting: trio.CancelScope | None = None
         self.held_bytes = 0
         self.final: Final | None = None
         self.finished = trio.Event()
@@ -103,16 +104,13 @@
 
     async def next_request(self) -> h11.Request | None:
         """The next head; None at the connection's end."""
-        self.idle = True
-        try:
-            if self.parser.trailing_data[0] == b"" and not self.connection.unread:
-                with self.waiting, trio.move_on_after(IDLE_S):
-                    if not await self.connection.fill():
-                        return None
-                if not self.connection.unread:
+        if self.parser.trailing_data[0] == b"" and not self.connection.unread:
+            with trio.move_on_after(IDLE_S) as self.waiting:
+                if not await self.connection.fill():
                     return None
-        finally:
-            self.idle = False
+            self.waiting = None
+            if not self.connection.unread:
+                return None
         with trio.move_on_after(HEAD_S):
             request = await self.next_event()
             return request if isinstance(request, h11.Request) else None
@@ -272,9 +270,10 @@
 
     def close_one_idle(self) -> bool:
         """Ask one idle client connection to close; its descriptor comes free a moment later."""
-        client = next((c for c in self._clients if c.idle and not c.waiting.cancel_called), None)
-        if client is not None:
-            client.waiting.cancel()
+        for client in self._clients:
+            if client.waiting is not None and not client.waiting.cancel_called:
+                client.waiting.cancel()
+                break
         return False
 
     async def linger(self) -> None:
@@ -284,7 +283,8 @@
         """Close connections between requests, now and from now on."""
         self.closing = True
         for client in self._clients:
-            client.waiting.cancel()
+            if client.waiting is not None:
+                client.waiting.cancel()
 
     async def closed(self, within_s: float) -> None:
         with trio.move_on_after(within_s):
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -13,6 +13,11 @@
 from sorreldock.protocol.http import front as http_front
 from sorreldock.transport.pool import Pool
 
+ONE = (
+    b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Trace-Id: %s\r\nX-Qos: alt-text\r\n"
+    b"X-Customer: acme\r\nX-Expires-In: 2000m\r\nContent-Length: 2\r\n\r\n{}"
+)
+
 
 async def refuse(call: Call) -> None:
     await call.answer(503, x_never_ran="1", endpoint_load_metrics="TEXT eps=0.0, queue=9")
@@ -130,6 +135,18 @@
     assert (got.body, got.whole) == (EVENTS[0], False)
 
 
+@story
+async def test_a_client_keeps_its_connection_from_one_request_to_the_next() -> None:
+    async with among(Engine()) as router:
+        wire = await router.connect()
+        for trace in (b"t1", b"t2", b"t3"):
+            await wire.stream.send_all(ONE % trace)
+            data = b""
+            while not data.endswith(b"\r\n0\r\n\r\n"):
+                assert (more := await wire.stream.receive_some(4096))
+                data += more
+
+
 @story
 async def test_connections_are_reused_but_not_near_the_engines_idle_limit(
     monkeypatch: pytest.MonkeyPatch,
@@ -228,7 +245,7 @@
         await wire.next()
         await trio.testing.wait_all_tasks_blocked(0.1)  # until nothing moves any more
         assert 0 < sent < 400
-        got = b""
+        got = bytearray()
         while hasattr(event := await wire.next(), "data"):
             got += event.data
         assert got == chunk * 400
@@ -270,11 +287,7 @@
     engine = Engine()
     async with among(engine) as router:
         wire = await router.connect()
-        one = (
-            b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Trace-Id: %s\r\nX-Qos: alt-text\r\n"
-            b"X-Customer: acme\r\nX-Expires-In: 2000m\r\nContent-Length: 2\r\n\r\n{}"
-        )
-        await wire.stream.send_all(one % b"t1" + one % b"t2")
+        await wire.stream.send_all(ONE % b"t1" + ONE % b"t2")
         data = b""
         while data.count(b"\r\n0\r\n\r\n") < 2:
             data += await wire.stream.receive_some(4096)
