--- a/sorreldock/program/serve.py
+++ b/sorreldock/program/serve.py
@@ -14,7 +14,7 @@
 from ..protocol.http.front import HttpFront
 from ..routing.core import Core
 from ..routing.types import EngineClient
-from ..transport.budget import Descriptors
+from ..transport.budget import Descriptors, Payloads
 from ..transport.connection import Connection
 from ..transport.listener import Listener
 from .config import Config
@@ -23,6 +23,8 @@
 
 LINGER_S = 0.5  # for so long after SIGTERM clients still come, and are still taken
 TRIM_S = 5.0
+MOST_PAYLOAD_BYTES = 40 * 1024 * 1024  # of all requests together, on both fronts
+DRAIN_S = 60.0  # then what still streams is cut off: a reader that trickles must not keep the program
 
 
 class Front(Protocol):
@@ -48,6 +50,7 @@
         self.log = self.syslog.log
         self.lifecycle = Lifecycle(lambda phase: self.log("notice", "PHASE", phase.value))
         self.budget = Descriptors(config.sockets)
+        self.payloads = Payloads(MOST_PAYLOAD_BYTES)
         self.fronts: dict[str, Front] = {}
         self.listeners: dict[str, Listener] = {}
         self.addresses: dict[str, str] = {}  # where each front listens, by protocol
@@ -113,7 +116,8 @@
             self.lifecycle.enter(Phase.DRAINING)
             for front in self.fronts.values():
                 await front.drain()
-            await self.core.drained()
+            with trio.move_on_after(DRAIN_S):
+                await self.core.drained()
             for front in self.fronts.values():
                 await front.closed(2.0)
             self.lifecycle.enter(Phase.STOPPED)
@@ -123,7 +127,7 @@
     def _open_fronts(self) -> None:
         operator = self.config.operator
         if operator.http:
-            self.fronts["http"] = HttpFront(self.core, self.ready, self.budget, self.log)
+            self.fronts["http"] = HttpFront(self.core, self.ready, self.budget, self.payloads, self.log)
             self.listeners["http"] = Listener(self.config.listen, self.budget)
         if operator.kserve is not None:
             from ..protocol.kserve.front import FrontSettings, KserveFront
@@ -133,7 +137,7 @@
                 kserve.models, kserve.default_class, kserve.default_tenant, kserve.keepalive_s
             )
             self.fronts["kserve"] = KserveFront(
-                self.core, settings, __version__, self.ready, self.budget, self.log
+                self.core, settings, __version__, self.ready, self.budget, self.payloads, self.log
             )
             self.listeners["kserve"] = Listener(kserve.listen, self.budget)
 
--- a/sorreldock/protocol/http/front.py
+++ b/sorreldock/protocol/http/front.py
@@ -8,13 +8,12 @@
 import trio
 
 from ...routing.types import RPC, Final, Log, Outcome, Overloaded, Router, SinkClosed
-from ...transport.budget import Descriptors, Use
+from ...transport.budget import Descriptors, Payloads, Use
 from ...transport.connection import Connection, ConnectionLost
 from .fields import SERVED_PATH, BadRequest, rpc_from
 
 LARGEST_BODY = 256 * 1024
 LARGEST_HEAD = 16 * 1024
-MOST_BODY_BYTES = 40 * 1024 * 1024  # of all requests together
 HEAD_S = 10.0  # from a request's first byte to the end of its head
 BODY_S = 30.0
 WRITE_S = 15.0  # a client that takes nothing for so long has gone
@@ -79,7 +78,7 @@
         return [(b"connection", b"close")] if self.front.draining else []
 
     def release_body(self) -> None:
-        self.front.body_bytes -= self.held_bytes
+        self.front.payloads.give_back(self.held_bytes)
         self.held_bytes = 0
 
     async def run(self) -> None:
@@ -166,12 +165,9 @@
                 size += len(event.data)
                 if size > LARGEST_BODY:
                     raise Answered(413, "the body is larger than 256 KiB", ((b"connection", b"close"),))
-                if self.front.body_bytes + len(event.data) > MOST_BODY_BYTES:
-                    # Guards the memory limit: a crowd of large bodies is refused, not held.
-                    raise Answered(
-                        503, "too many large requests", ((b"retry-after", b"1"), (b"connection", b"close"))
-                    )
-                self.front.body_bytes += len(event.data)
+                if not self.front.payloads.take(len(event.data)):
+                    advice = ((b"retry-after", b"1"), (b"connection", b"close"))
+                    raise Answered(503, "too many large requests", advice)
                 self.held_bytes += len(event.data)
                 parts.append(bytes(event.data))
             return b"".join(parts)
@@ -248,12 +244,19 @@
 
 
 class HttpFront:
-    def __init__(self, core: Router, is_ready: Callable[[], bool], budget: Descriptors, log: Log) -> None:
+    def __init__(
+        self,
+        core: Router,
+        is_ready: Callable[[], bool],
+        budget: Descriptors,
+        payloads: Payloads,
+        log: Log,
+    ) -> None:
         self.core = core
         self.is_ready = is_ready
         self.draining = False  # answers say `Connection: close`
         self.closing = False  # connections end after their answer
-        self.body_bytes = 0
+        self.payloads = payloads
         self._log = log
         self._clients: set[ClientConnection] = set()
         budget.evictors[Use.CLIENT].append(self.close_one_idle)
--- a/sorreldock/protocol/kserve/front.py
+++ b/sorreldock/protocol/kserve/front.py
@@ -16,7 +16,7 @@
 from hyperframe.frame import GoAwayFrame
 
 from ...routing.types import RPC, Cause, Final, Log, Outcome, Overloaded, Router, SinkClosed
-from ...transport.budget import Descriptors, Use
+from ...transport.budget import Descriptors, Payloads, Use
 from ...transport.connection import Connection, ConnectionLost
 from . import kserve_pb2 as pb
 from .grpc import (
@@ -25,8 +25,8 @@
     Code,
     Farewell,
     GrpcError,
-    H2Wire,
     Headers,
+    ServerWire,
     Unframer,
     frame,
     parse_timeout,
@@ -90,7 +90,9 @@
         self.arrived_at = trio.current_time()
         self.scope = trio.CancelScope()
         self.unframer = Unframer(LARGEST_REQUEST)
+        self.held_bytes = 0  # of the payload budget
         self.unread = 0  # bytes in the unframer that the peer has not got back as room
+        self.crowded = False  # its request found no room in memory
         self.ended = False  # the client has sent all
         self.reset = False
         self.changed = trio.Event()
@@ -103,6 +105,7 @@
     async def event(self, data: bytes) -> None:
         if self.final is not None or self.reset:
             raise SinkClosed
+        self.release()  # an answer has begun: the core has let the payload go
         try:
             await self.send(frame(data))
         except (ConnectionLost, h2.exceptions.ProtocolError):
@@ -119,10 +122,18 @@
         self.changed = trio.Event()
 
     def feed(self, data: bytes, length: int) -> None:
-        self.unframer.feed(data)
         self.unread += length
+        if self.client.front.payloads.take(len(data)):
+            self.held_bytes += len(data)
+            self.unframer.feed(data)
+        else:
+            self.crowded = True
         self.notify()
 
+    def release(self) -> None:
+        self.client.front.payloads.give_back(self.held_bytes)
+        self.held_bytes = 0
+
     async def send(self, data: bytes) -> None:
         wire = self.client.wire
         if not self.head_sent:
@@ -153,6 +164,10 @@
     async def message(self) -> bytes | None:
         """The next request message; None when the client has sent all."""
         while True:
+            if self.crowded:
+                raise GrpcError(
+                    Code.UNAVAILABLE, "too many large requests", [("grpc-retry-pushback-ms", "1000")]
+                )
             message = self.unframer.next()
             if message is not None:
                 await self.give_room()
@@ -304,23 +319,39 @@
 
     def __init__(self, front: KserveFront, connection: Connection) -> None:
         self.front = front
-        self.wire = H2Wire(connection, client_side=False, most_streams=MOST_STREAMS)
+        self.wire = ServerWire(connection, MOST_STREAMS)
         self.streams: dict[int, ClientStream] = {}
         self.scope = trio.CancelScope()
         self.heard_at = trio.current_time()
         self.going = False
+        self.ending = trio.Event()
 
     def over(self, stream: ClientStream) -> None:
         self.streams.pop(stream.number, None)
-        if self.going and not self.streams:
-            self.scope.cancel()
+        stream.release()
+        if stream.unread:  # what nobody will read must not narrow the connection for the others
+            self.wire.consumed(stream.number, stream.unread)
+        if self.going and not self.front.accepting and not self.streams:
+            self.ending.set()
+
+    async def end(self) -> None:
+        """Close once the last status has been written."""
+        await self.ending.wait()
+        with trio.move_on_after(1.0):
+            await self.wire.flush()
+            await self.wire.flushed()
+        self.scope.cancel()
 
     async def run(self) -> None:
         try:
             with self.scope:
                 async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self.wire.write)
                     nursery.start_soon(self.keep_alive)
+                    nursery.start_soon(self.end)
                     await self.read(nursery)
+                    with trio.move_on_after(1.0):
+                        await self.wire.flushed()  # the farewell, if the client was at fault
                     nursery.cancel_scope.cancel()
         except* (ConnectionLost, h2.exceptions.ProtocolError):
             pass  # the client has gone, or is none of ours
@@ -382,7 +413,7 @@
                 idle_since = trio.current_time()
             elif trio.current_time() - idle_since >= IDLE_S:
                 self.go_away()
-                await self.wire.flush()
+                self.ending.set()
             if trio.current_time() - self.heard_at < interval:
                 continue
             asked_at = trio.current_time()
@@ -399,7 +430,7 @@
         self.going = True
         self.wire.raw(notice.serialize())
         if not self.streams and not self.front.accepting:
-            self.scope.cancel()
+            self.ending.set()
 
 
 class KserveFront:
@@ -410,9 +441,11 @@
         version: str,
         is_ready: Callable[[], bool],
         budget: Descriptors,
+        payloads: Payloads,
         log: Log,
     ) -> None:
         self.core = core
+        self.payloads = payloads
         self.settings = settings
         self.version = version
         self.is_ready = is_ready
--- a/sorreldock/protocol/kserve/grpc.py
+++ b/sorreldock/protocol/kserve/grpc.py
@@ -16,7 +16,7 @@
 import h2.settings
 import trio
 
-from ...transport.connection import Connection
+from ...transport.connection import Connection, ConnectionLost
 
 SERVICE = "inference.GRPCInferenceService"
 LARGEST_REQUEST = 256 * 1024
@@ -195,10 +195,14 @@
     async def flush(self) -> None:
         """Write what the state has to say. The lock keeps frames of two tasks in their order."""
         async with self._turn:
-            data, self._raw = self.h2.data_to_send() + self._raw, b""
+            data = self.take_out()
             if data:
                 await self.connection.send(data)
 
+    def take_out(self) -> bytes:
+        data, self._raw = self.h2.data_to_send() + self._raw, b""
+        return data
+
     def raw(self, frame: bytes) -> None:
         """A frame for the next flush that the state can't make: a GOAWAY that leaves the streams alive."""
         self._raw += frame
@@ -210,3 +214,45 @@
         """Give the peer room for as much again, on the stream and on the connection."""
         if length:
             self.h2.acknowledge_received_data(length, stream)
+
+
+class ServerWire(H2Wire):
+    """A wire that many streams write to. One task alone sends; a stream cancelled while it waits leaves
+    no frame half written, which would end the connection for all the others."""
+
+    MOST_PENDING = 64 * 1024
+    WRITE_S = 15.0  # a client that takes nothing for so long has gone
+
+    def __init__(self, connection: Connection, most_streams: int) -> None:
+        super().__init__(connection, client_side=False, most_streams=most_streams)
+        self._pending = b""
+        self._sending = False
+        self._wake = trio.Event()
+        self._sent = trio.Event()
+
+    async def flush(self) -> None:
+        """Hand over what the state has to say, and wait while too much of it is unsent."""
+        self._pending += self.take_out()
+        self._wake.set()
+        while len(self._pending) > self.MOST_PENDING:
+            await self._sent.wait()
+
+    async def write(self) -> None:
+        while True:
+            while not self._pending:
+                self._wake = trio.Event()
+                await self._wake.wait()
+            data, self._pending = self._pending, b""
+            self._sending = True
+            with trio.move_on_after(self.WRITE_S) as scope:
+                await self.connection.send(data)
+            if scope.cancelled_caught:
+                raise ConnectionLost("the client takes nothing")
+            self._sending = False
+            self._sent.set()
+            self._sent = trio.Event()
+
+    async def flushed(self) -> None:
+        """Wait until all has been written."""
+        while self._pending or self._sending:
+            await self._sent.wait()
--- a/sorreldock/transport/budget.py
+++ b/sorreldock/transport/budget.py
@@ -32,3 +32,21 @@
 
     def give_back(self, use: Use) -> None:
         self.used[use] -= 1
+
+
+class Payloads:
+    """Counts the bytes of requests held in memory. Guards the memory limit: past it a crowd of large requests
+    is refused, not held."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.used = 0
+
+    def take(self, count: int) -> bool:
+        if self.used + count > self.most:
+            return False
+        self.used += count
+        return True
+
+    def give_back(self, count: int) -> None:
+        self.used -= count
--- a/sorreldock/transport/connection.py
+++ b/sorreldock/transport/connection.py
@@ -32,7 +32,8 @@
         self._incoming = Ring(RING_BYTES)
         self._outgoing = Ring(RING_BYTES)
         self.written = 0  # bytes that the kernel has taken
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if sock.family != socket.AF_UNIX:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     async def fill(self) -> int:
         """Read into the ring and leave it there; 0 at the end. Waits for ever while the ring is full."""
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+
 import pytest
 import trio
 import trio.testing
@@ -181,6 +183,44 @@
     assert (len(first.calls), len(second.calls)) == (0, 8)
 
 
+@story
+async def test_an_attempt_that_still_dials_is_not_sent_to_an_engine_that_drains() -> None:
+    with socket.socket() as stuck, socket.socket() as first, socket.socket() as second:
+        stuck.bind(("127.0.0.1", 0))
+        stuck.listen(0)  # the backlog is full after the first: whoever comes later hangs in its dial
+        for filler in (first, second):
+            filler.setblocking(False)
+            filler.connect_ex(stuck.getsockname())
+        hung, good = Engine(), Engine()
+        hung.address = f"127.0.0.1:{stuck.getsockname()[1]}"
+        discovery = Discovery(hung)
+        async with good.open(), among(discovery=discovery, limits={"connect_timeout_s": 15.0}) as router:
+            await discovery.watching.wait()
+            async with trio.open_nursery() as nursery:
+
+                async def ask() -> None:
+                    assert (await router.post(x_expires_in="16000m")).whole
+
+                nursery.start_soon(ask)
+                core = router.program.core
+                while not any(entry.out for entry in core.open.values()):
+                    await trio.sleep(0.005)
+                discovery.engines = (hung, good)
+                discovery.tell(e0="Terminating")
+    assert len(good.calls) == 1
+
+
+@story
+async def test_a_crowd_of_large_requests_is_refused_and_not_held() -> None:
+    async with among(Engine()) as router:
+        router.program.payloads.most = 1000
+        got = await router.post(b"x" * 2000)
+        assert (got.status, got.headers["retry-after"]) == (503, "1")
+        for _ in range(3):  # and what was served is no longer counted
+            assert (await router.post(b"x" * 900)).whole
+        assert router.program.payloads.used == 0
+
+
 @story
 async def test_a_watch_that_is_refused_ends_or_stalls_is_asked_for_again(
     monkeypatch: pytest.MonkeyPatch,
--- a/tests/test_kserve.py
+++ b/tests/test_kserve.py
@@ -16,7 +16,8 @@
 from sorreldock.protocol.kserve import client as engine_client
 from sorreldock.protocol.kserve import front as kserve_front
 from sorreldock.protocol.kserve import kserve_pb2 as pb
-from sorreldock.protocol.kserve.grpc import Code
+from sorreldock.protocol.kserve.grpc import Code, ServerWire
+from sorreldock.transport.connection import Connection
 
 
 async def turn_away(call: Stream) -> None:
@@ -293,6 +294,29 @@
             pass  # it closes: we answer nothing
 
 
+@story
+async def test_a_stream_cancelled_while_it_waits_to_write_garbles_nothing() -> None:
+    ours, theirs = trio.socket.socketpair()
+    wire = ServerWire(Connection(ours, lambda: None), 1)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(wire.write)
+        start = wire.take_out()
+        wire.raw(b"x" * 5_000_000)
+        nursery.start_soon(wire.flush)
+        await trio.testing.wait_all_tasks_blocked()  # the peer's buffers are full
+        wire.raw(b"y" * 100_000)
+        with trio.move_on_after(0) as scope:
+            await wire.flush()
+        assert scope.cancelled_caught and start
+        wire.raw(b"z")
+        nursery.start_soon(wire.flush)
+        got = b""
+        while not got.endswith(b"z"):
+            got += await theirs.recv(1 << 20)
+        assert got == b"x" * 5_000_000 + b"y" * 100_000 + b"z"
+        nursery.cancel_scope.cancel()
+
+
 @story
 async def test_goaway_and_the_end_of_open_streams_at_sigterm() -> None:
     finish = trio.Event()
