--- a/sorreldock/rules.py
+++ b/sorreldock/rules.py
@@ -483,9 +483,17 @@
         refusable = request.cls.effect is Effect.SAFE or not any(a.may_have_run() for a in request.attempts)
         if request.cls.effect is Effect.KEYED and request.cls.dedup_scope is DedupScope.ALL:
             refusable = True
-        self.out.append(Refuse(request.event.request) if refusable else Fail(request.event.request))
+        name = request.event.request
+        self.out.append(Refuse(name, self.advice(request)) if refusable else Fail(name))
         self.finish(request)
 
+    def advice(self, request: Request) -> float:
+        """When to come again: p has halved by then. Spread, lest those refused together return together."""
+        limits = self.settings.limits
+        pause = min(FADE_S * self.random.uniform(0.25, 0.75), limits.max_retry_after_s)
+        left = request.event.expires_at - self.now
+        return 0.0 if not limits.retry_advice else min(pause, 0.5 * left) if left > 0 else pause
+
     def finish(self, request: Request) -> None:
         request.done = True
         self.held.pop(request.event.request, None)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -90,6 +90,7 @@
         began = trio.current_time()
         got = await router.post(x_expires_in="4000m")
         assert got.status == 503 and trio.current_time() - began < 1.0
+        assert 0.0 < float(got.headers["retry-after"]) <= 2.0
 
 
 @story
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -469,3 +469,11 @@
     assert cancel or "Cancel" not in kinds
     assert peers or "TellPeers" not in kinds
     assert parallel == any(n > 1 for n in out.values())
+
+
+def test_a_refusal_says_when_to_come_again_where_clients_heed_it() -> None:
+    advised = Limits(max_attempts=3, retry_advice=True, max_retry_after_s=0.6)
+    gw = gateway([], limits=advised)
+    [refused] = gw.handle(START, [call("a")])
+    assert isinstance(refused, Refuse) and 0.0 < refused.retry_after_s <= 0.6
+    assert gateway([]).handle(START, [call("a")]) == [Refuse("a")]
