--- a/sorreldock/program/serve.py
+++ b/sorreldock/program/serve.py
@@ -4,18 +4,18 @@
 
 import gc
 import signal
-from typing import Protocol
+from typing import Any
 
 import trio
 
 from .. import __version__
+from ..protocol.front import Front
 from ..protocol.http.client import HttpEngineClient
 from ..protocol.http.discovery import Resolver
 from ..protocol.http.front import HttpFront
 from ..routing.core import Core
 from ..routing.types import EngineClient
 from ..transport.budget import Descriptors, Payloads
-from ..transport.connection import Connection
 from ..transport.listener import Listener
 from .config import Config
 from .phases import Lifecycle, Phase
@@ -27,21 +27,6 @@
 DRAIN_S = 60.0  # then what still streams is cut off: a reader that trickles must not keep the program
 
 
-class Front(Protocol):
-    """What serves the connections of one protocol's clients."""
-
-    async def handle(self, connection: Connection) -> None: ...
-
-    async def linger(self) -> None:
-        """Told to stop: take what still comes, and tell clients to go elsewhere."""
-
-    async def drain(self) -> None:
-        """Take nothing new, and end what is idle."""
-
-    async def closed(self, within_s: float) -> None:
-        """Wait until the last answer has been written."""
-
-
 class Program:
     def __init__(self, config: Config) -> None:
         self.config = config
@@ -51,7 +36,7 @@
         self.lifecycle = Lifecycle(lambda phase: self.log("notice", "PHASE", phase.value))
         self.budget = Descriptors(config.sockets)
         self.payloads = Payloads(MOST_PAYLOAD_BYTES)
-        self.fronts: dict[str, Front] = {}
+        self.fronts: dict[str, Front[Any]] = {}
         self.listeners: dict[str, Listener] = {}
         self.addresses: dict[str, str] = {}  # where each front listens, by protocol
         self.serving = trio.Event()
@@ -137,7 +122,7 @@
                 kserve.models, kserve.default_class, kserve.default_tenant, kserve.keepalive_s
             )
             self.fronts["kserve"] = KserveFront(
-                self.core, settings, __version__, self.ready, self.budget, self.payloads, self.log
+                settings, __version__, self.core, self.ready, self.budget, self.payloads, self.log
             )
             self.listeners["kserve"] = Listener(kserve.listen, self.budget)
 
--- /dev/null
+++ b/sorreldock/protocol/engine.py
@@ -0,0 +1,97 @@
+"""What the engine clients of all protocols have in common: a call attempt's way over a pooled connection."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from typing import Generic, TypeVar
+
+import trio
+
+from ..interface import Status
+from ..routing.types import RPC, CallProgress, Report
+from ..transport.connection import ConnectionLost, DialFailed
+from ..transport.pool import Line, Pool
+
+# An engine that goes silent within a stream: its client would wait for ever, since a vanished machine says
+# nothing. Longer than a slow engine's pause between events, shorter than the 5 s that the platform allows.
+SILENCE_S = 3.5
+PROBE_S = 0.25
+
+
+class NeverTaken(ConnectionLost):
+    """The protocol's own proof that a request was not processed."""
+
+
+class ProtocolFault(Exception):
+    """The engine has said what its protocol does not allow."""
+
+
+L = TypeVar("L", bound=Line)
+E = TypeVar("E")
+
+
+class PooledEngineClient(ABC, Generic[L, E]):
+    """`L` is a connection with its parser, `E` an exchange on it."""
+
+    def __init__(self, pool: Pool[L]) -> None:
+        self._pool = pool
+        self.close_idle = pool.close_idle
+        self.discard = pool.discard
+        self.trim = pool.trim
+
+    @abstractmethod
+    async def send(self, line: L, rpc: RPC, progress: CallProgress) -> E:
+        """Write the request to its last byte."""
+
+    @abstractmethod
+    async def answer(self, exchange: E, progress: CallProgress) -> Report:
+        """Pass the answer's events on, to its end."""
+
+    @abstractmethod
+    async def ask_load(self, line: L) -> Report:
+        """A probe."""
+
+    async def call(self, rpc: RPC, progress: CallProgress) -> Report:
+        try:
+            line = await self._pool.get()
+        except DialFailed as error:
+            return Report(Status.CONNECT_FAILED, note=str(error))
+        whole = False
+        try:
+            if not progress.may_send():
+                whole = True
+                return Report(Status.NOT_SENT, note="drained while dialling")
+            try:
+                exchange = await self.send(line, rpc, progress)
+            except NeverTaken as error:
+                return Report(Status.FULL, note=str(error))
+            except (ConnectionLost, ProtocolFault) as error:
+                # Its last byte was not written: it never ran, and the transport never sends it again.
+                return Report(Status.CONNECT_FAILED, note=str(error))
+            try:
+                report = await self.answer(exchange, progress)
+            except NeverTaken as error:
+                return Report(Status.FULL, note=str(error))
+            except (ConnectionLost, ProtocolFault) as error:
+                return Report(Status.RESET, note=str(error))
+            whole = True
+            return report
+        finally:  # a connection that is not kept is closed, which gives the attempt up
+            self._pool.give_back(line, whole)
+
+    async def probe(self) -> Report:
+        with trio.move_on_after(PROBE_S):
+            try:
+                line = await self._pool.get()
+            except DialFailed as error:
+                return Report(Status.CONNECT_FAILED, note=str(error))
+            whole = False
+            try:
+                report = await self.ask_load(line)
+                whole = True
+                return report
+            except (ConnectionLost, ProtocolFault) as error:
+                return Report(Status.RESET, note=str(error))
+            finally:
+                self._pool.give_back(line, whole)
+        return Report(Status.TIMEOUT)
--- a/sorreldock/protocol/http/client.py
+++ b/sorreldock/protocol/http/client.py
@@ -10,15 +10,13 @@
 from ...interface import Metric, Status
 from ...routing.types import RPC, CallProgress, Report
 from ...transport.budget import Descriptors
-from ...transport.connection import Connection, ConnectionLost, DialFailed
+from ...transport.connection import Connection, ConnectionLost
 from ...transport.pool import Pool
+from .. import engine
+from ..engine import PooledEngineClient, ProtocolFault
 from ..loads import HEADER, parse_load
 from .fields import HttpPayload
 
-# An engine that goes silent within a stream: its client would wait for ever, since a vanished machine says
-# nothing. Longer than a slow engine's pause between events, shorter than the 5 s that the platform allows.
-SILENCE_S = 3.5
-PROBE_S = 0.25
 LARGEST_LINE = 16 * 1024
 REPORT_LINE = b": " + HEADER.encode() + b":"
 
@@ -35,7 +33,10 @@
 
     async def next_event(self) -> h11.Event:
         while True:
-            event = self.parser.next_event()
+            try:
+                event = self.parser.next_event()
+            except h11.RemoteProtocolError as error:
+                raise ProtocolFault(str(error)) from None
             if event is h11.NEED_DATA:
                 self.parser.receive_data(await self.connection.receive())
             elif event is h11.PAUSED:
@@ -61,9 +62,10 @@
                 raise ConnectionLost("the answer is too long")
         return b"".join(parts)
 
-    @property
-    def reusable(self) -> bool:
-        return self.parser.our_state is h11.DONE and self.parser.their_state is h11.DONE
+    def renew(self) -> bool:
+        if self.parser.our_state is h11.DONE and self.parser.their_state is h11.DONE:
+            self.parser.start_next_cycle()
+        return self.parser.our_state is h11.IDLE
 
 
 class StreamNotes:
@@ -92,7 +94,7 @@
             pass  # an engine may leave it out
 
 
-class HttpEngineClient:
+class HttpEngineClient(PooledEngineClient[EngineLine, EngineLine]):
     def __init__(
         self,
         address: str,
@@ -101,78 +103,45 @@
         conn_idle_s: float,
         probe_path: str,
     ) -> None:
+        super().__init__(Pool(address, EngineLine, budget, connect_timeout_s, conn_idle_s))
         self._host = address.encode()
-        self._pool = Pool(address, EngineLine, budget, connect_timeout_s, conn_idle_s)
         self._probe_path = probe_path.encode()
-        self.close_idle = self._pool.close_idle
-        self.discard = self._pool.discard
-        self.trim = self._pool.trim
 
-    async def call(self, rpc: RPC, progress: CallProgress) -> Report:
+    async def send(self, line: EngineLine, rpc: RPC, progress: CallProgress) -> EngineLine:
         payload = rpc.payload
         assert isinstance(payload, HttpPayload)
-        try:
-            line = await self._pool.get()
-        except DialFailed as error:
-            return Report(Status.CONNECT_FAILED, note=str(error))
-        clean = False
-        try:
-            if not progress.may_send():
-                clean = True
-                return Report(Status.NOT_SENT, note="drained while dialling")
-            request = h11.Request(
-                method=b"POST",
-                target=payload.target,
-                headers=[
-                    (b"host", self._host),
-                    (b"x-trace-id", payload.trace_id),
-                    (b"x-expires-in", b"%du" % max(int(progress.wait_s() * 1e6), 1)),
-                    (b"content-type", payload.content_type),
-                    (b"content-length", b"%d" % len(payload.body)),
-                ],
-            )
-            try:
-                await line.send(request, payload.body)
-            except ConnectionLost as error:
-                # Its last byte was not written: it never ran, and the transport never sends it again.
-                return Report(Status.CONNECT_FAILED, note=str(error))
-            del payload, request
-            try:
-                report = await self._answer(line, progress)
-            except (ConnectionLost, h11.RemoteProtocolError) as error:
-                return Report(Status.RESET, note=str(error))
-            clean = line.reusable
-            return report
-        finally:
-            self._give_back(line, clean)
-
-    def _give_back(self, line: EngineLine, clean: bool) -> None:
-        """Keep the connection if its last exchange is complete; else closing it gives the attempt up."""
-        if not clean:
-            line.connection.close()
-            return
-        if line.parser.our_state is h11.DONE:
-            line.parser.start_next_cycle()
-        self._pool.put(line)
-
-    async def _answer(self, line: EngineLine, progress: CallProgress) -> Report:
-        head = await line.next_event()
+        request = h11.Request(
+            method=b"POST",
+            target=payload.target,
+            headers=[
+                (b"host", self._host),
+                (b"x-trace-id", payload.trace_id),
+                (b"x-expires-in", b"%du" % max(int(progress.wait_s() * 1e6), 1)),
+                (b"content-type", payload.content_type),
+                (b"content-length", b"%d" % len(payload.body)),
+            ],
+        )
+        await line.send(request, payload.body)
+        return line
+
+    async def answer(self, exchange: EngineLine, progress: CallProgress) -> Report:
+        head = await exchange.next_event()
         while isinstance(head, h11.InformationalResponse):
-            head = await line.next_event()
+            head = await exchange.next_event()
         if not isinstance(head, h11.Response):
             raise ConnectionLost("closed without an answer")
         headers = dict(head.headers)
         load = parse_load(headers.get(HEADER.lower().encode(), b"").decode("latin-1"))
         if head.status_code != 200:
             never_ran = head.status_code in (503, 504) and headers.get(b"x-never-ran") == b"1"
-            await line.rest()
+            await exchange.rest()
             status = Status.FULL if never_ran else Status.ERROR
             return Report(status, load, note=f"HTTP {head.status_code}")
         notes = StreamNotes()
         notes.load = load
         while True:
-            with trio.move_on_after(SILENCE_S) as silence:
-                event = await line.next_event()
+            with trio.move_on_after(engine.SILENCE_S) as silence:
+                event = await exchange.next_event()
             if silence.cancelled_caught:
                 raise ConnectionLost("silent within a stream")
             if isinstance(event, h11.EndOfMessage):
@@ -183,29 +152,13 @@
             notes.read(data)
             await progress.event(data)
 
-    async def probe(self) -> Report:
-        with trio.move_on_after(PROBE_S):
-            try:
-                line = await self._pool.get()
-            except DialFailed as error:
-                return Report(Status.CONNECT_FAILED, note=str(error))
-            clean = False
-            try:
-                await line.send(
-                    h11.Request(method=b"GET", target=self._probe_path, headers=[(b"host", self._host)])
-                )
-                head = await line.next_event()
-                if not isinstance(head, h11.Response):
-                    raise ConnectionLost("closed without an answer")
-                body = (await line.rest()).decode("latin-1")
-                clean = line.reusable
-            except (ConnectionLost, h11.RemoteProtocolError) as error:
-                return Report(Status.RESET, note=str(error))
-            finally:
-                self._give_back(line, clean)
-            headers = dict(head.headers)
-            text = body.strip() or headers.get(HEADER.lower().encode(), b"").decode("latin-1")
-            text = text.removeprefix(HEADER + ":").strip()
-            status = Status.OK if head.status_code == 200 else Status.FULL
-            return Report(status, parse_load(text), note=f"HTTP {head.status_code}")
-        return Report(Status.TIMEOUT)
+    async def ask_load(self, line: EngineLine) -> Report:
+        await line.send(h11.Request(method=b"GET", target=self._probe_path, headers=[(b"host", self._host)]))
+        head = await line.next_event()
+        if not isinstance(head, h11.Response):
+            raise ConnectionLost("closed without an answer")
+        body = (await line.rest()).decode("latin-1")
+        text = body.strip() or dict(head.headers).get(HEADER.lower().encode(), b"").decode("latin-1")
+        text = text.removeprefix(HEADER + ":").strip()
+        status = Status.OK if head.status_code == 200 else Status.FULL
+        return Report(status, parse_load(text), note=f"HTTP {head.status_code}")
--- a/sorreldock/protocol/http/front.py
+++ b/sorreldock/protocol/http/front.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 import h11
 import trio
 
-from ...routing.types import RPC, Final, Log, Outcome, Overloaded, Router, SinkClosed
-from ...transport.budget import Descriptors, Payloads, Use
+from ...routing.types import RPC, Final, Outcome, Overloaded, SinkClosed
 from ...transport.connection import Connection, ConnectionLost
+from ..front import Front
 from .fields import SERVED_PATH, BadRequest, rpc_from
 
 LARGEST_BODY = 256 * 1024
@@ -44,6 +42,12 @@
         self.finished = trio.Event()
         self.head_sent = False
 
+    def close_if_idle(self) -> bool:
+        idle = self.waiting is not None and not self.waiting.cancel_called
+        if self.waiting is not None:
+            self.waiting.cancel()
+        return idle
+
     # The core's side.
 
     async def event(self, data: bytes) -> None:
@@ -243,41 +247,12 @@
                     return
 
 
-class HttpFront:
-    def __init__(
-        self,
-        core: Router,
-        is_ready: Callable[[], bool],
-        budget: Descriptors,
-        payloads: Payloads,
-        log: Log,
-    ) -> None:
-        self.core = core
-        self.is_ready = is_ready
-        self.draining = False  # answers say `Connection: close`
-        self.closing = False  # connections end after their answer
-        self.payloads = payloads
-        self._log = log
-        self._clients: set[ClientConnection] = set()
-        budget.evictors[Use.CLIENT].append(self.close_one_idle)
-
-    async def handle(self, connection: Connection) -> None:
-        client = ClientConnection(self, connection)
-        self._clients.add(client)
-        try:
-            await client.run()
-        except Exception as error:  # a peer's fault never ends the program
-            self._log("err", "FRONT", "fault on a client connection", error=repr(error))
-        finally:
-            self._clients.discard(client)
+class HttpFront(Front[ClientConnection]):
+    draining = False  # answers say `Connection: close`
+    closing = False  # connections end after their answer
 
-    def close_one_idle(self) -> bool:
-        """Ask one idle client connection to close; its descriptor comes free a moment later."""
-        for client in self._clients:
-            if client.waiting is not None and not client.waiting.cancel_called:
-                client.waiting.cancel()
-                break
-        return False
+    def attend(self, connection: Connection) -> ClientConnection:
+        return ClientConnection(self, connection)
 
     async def linger(self) -> None:
         self.draining = True
@@ -285,11 +260,5 @@
     async def drain(self) -> None:
         """Close connections between requests, now and from now on."""
         self.closing = True
-        for client in self._clients:
-            if client.waiting is not None:
-                client.waiting.cancel()
-
-    async def closed(self, within_s: float) -> None:
-        with trio.move_on_after(within_s):
-            while self._clients:
-                await trio.sleep(0.01)
+        for client in self.clients:
+            client.close_if_idle()
--- a/sorreldock/protocol/kserve/client.py
+++ b/sorreldock/protocol/kserve/client.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Iterator
+from contextlib import contextmanager
+
 import h2.errors
 import h2.events
 import h2.exceptions
@@ -11,8 +15,10 @@
 from ...interface import Metric, Status
 from ...routing.types import RPC, CallProgress, Report
 from ...transport.budget import Descriptors
-from ...transport.connection import Connection, ConnectionLost, DialFailed
+from ...transport.connection import Connection, ConnectionLost
 from ...transport.pool import Pool
+from .. import engine
+from ..engine import NeverTaken, PooledEngineClient, ProtocolFault
 from ..loads import HEADER, parse_load
 from . import kserve_pb2 as pb
 from .front import HOP, KservePayload
@@ -30,15 +36,18 @@
     status_of,
 )
 
-SILENCE_S = 3.5  # as with the platform's engines: a vanished machine says nothing
-PROBE_S = 0.25
 LOAD = HEADER.lower()
 # The request is at fault, not the engine: another would say the same, so the client gets this word as it is.
 VERDICTS = (Code.INVALID_ARGUMENT, Code.NOT_FOUND, Code.FAILED_PRECONDITION, Code.UNIMPLEMENTED)
 
 
-class NeverTaken(ConnectionLost):
-    """HTTP/2's own proof that a stream was not processed: REFUSED_STREAM, or a GOAWAY that leaves it out."""
+@contextmanager
+def faults() -> Iterator[None]:
+    """What h2, our framing and protobuf object to is the engine's fault."""
+    try:
+        yield
+    except (h2.exceptions.ProtocolError, GrpcError, DecodeError) as error:
+        raise ProtocolFault(str(error)) from None
 
 
 class Exchange:
@@ -140,6 +149,9 @@
             return False
         return not self.going
 
+    def renew(self) -> bool:
+        return not self.going
+
     def open(self, method: str, authority: str, timeout_s: float, metadata: Headers) -> Exchange:
         number = self.wire.h2.get_next_available_stream_id()
         headers = [
@@ -156,55 +168,25 @@
         return Exchange(self, number)
 
 
-class KserveEngineClient:
+class KserveEngineClient(PooledEngineClient[EngineLine, Exchange]):
     def __init__(
         self, address: str, budget: Descriptors, connect_timeout_s: float, conn_idle_s: float
     ) -> None:
+        super().__init__(Pool(address, EngineLine, budget, connect_timeout_s, conn_idle_s))
         self._address = address
-        self._pool = Pool(address, EngineLine, budget, connect_timeout_s, conn_idle_s)
-        self.close_idle = self._pool.close_idle
-        self.discard = self._pool.discard
-        self.trim = self._pool.trim
 
-    async def call(self, rpc: RPC, progress: CallProgress) -> Report:
+    async def send(self, line: EngineLine, rpc: RPC, progress: CallProgress) -> Exchange:
         payload = rpc.payload
         assert isinstance(payload, KservePayload)
-        try:
-            line = await self._pool.get()
-        except DialFailed as error:
-            return Report(Status.CONNECT_FAILED, note=str(error))
-        clean = False
-        try:
-            if not progress.may_send():
-                clean = True
-                return Report(Status.NOT_SENT, note="drained while dialling")
-            try:
-                exchange = line.open(payload.method, self._address, progress.wait_s(), payload.metadata)
-                await exchange.send(frame(payload.message))
-            except NeverTaken as error:
-                return Report(Status.FULL, note=str(error))
-            except (ConnectionLost, h2.exceptions.ProtocolError) as error:
-                # Its last byte was not written: it never ran, and the transport never sends it again.
-                return Report(Status.CONNECT_FAILED, note=str(error))
-            del payload
-            try:
-                report = await self._answer(exchange, progress)
-            except NeverTaken as error:
-                return Report(Status.FULL, note=str(error))
-            except (ConnectionLost, h2.exceptions.ProtocolError, GrpcError) as error:
-                return Report(Status.RESET, note=str(error))
-            clean = exchange.ended and not line.going
-            return report
-        finally:
-            if clean:
-                self._pool.put(line)
-            else:  # which gives the attempt up: a client's cancel reaches the engine so
-                line.connection.close()
-
-    async def _answer(self, exchange: Exchange, progress: CallProgress) -> Report:
+        with faults():
+            exchange = line.open(payload.method, self._address, progress.wait_s(), payload.metadata)
+            await exchange.send(frame(payload.message))
+        return exchange
+
+    async def answer(self, exchange: Exchange, progress: CallProgress) -> Report:
         started = False
         while True:
-            with trio.move_on_after(SILENCE_S if started else float("inf")) as silence:
+            with trio.move_on_after(engine.SILENCE_S if started else math.inf) as silence, faults():
                 message = await exchange.message()
             if silence.cancelled_caught:
                 raise ConnectionLost("silent within a stream")
@@ -229,27 +211,12 @@
             return Report(Status.FULL, load, note=f"grpc-status {code}")
         return Report(Status.ERROR, load, note=f"grpc-status {code}: {text}")
 
-    async def probe(self) -> Report:
-        with trio.move_on_after(PROBE_S):
-            try:
-                line = await self._pool.get()
-            except DialFailed as error:
-                return Report(Status.CONNECT_FAILED, note=str(error))
-            clean = False
-            try:
-                exchange = line.open("ServerReady", self._address, PROBE_S, [])
-                await exchange.send(frame(b""))
-                message = await exchange.message()
-                while await exchange.message() is not None:
-                    pass
-                clean = not line.going
-                ready = pb.ServerReadyResponse.FromString(message or b"").ready
-                return Report(Status.OK if ready else Status.FULL, exchange.load())
-            except (ConnectionLost, h2.exceptions.ProtocolError, GrpcError, DecodeError) as error:
-                return Report(Status.RESET, note=str(error))
-            finally:
-                if clean:
-                    self._pool.put(line)
-                else:
-                    line.connection.close()
-        return Report(Status.TIMEOUT)
+    async def ask_load(self, line: EngineLine) -> Report:
+        with faults():
+            exchange = line.open("ServerReady", self._address, engine.PROBE_S, [])
+            await exchange.send(frame(b""))
+            message = await exchange.message()
+            while await exchange.message() is not None:
+                pass
+            ready = pb.ServerReadyResponse.FromString(message or b"").ready
+        return Report(Status.OK if ready else Status.FULL, exchange.load())
--- a/sorreldock/protocol/kserve/front.py
+++ b/sorreldock/protocol/kserve/front.py
@@ -16,8 +16,9 @@
 from hyperframe.frame import GoAwayFrame
 
 from ...routing.types import RPC, Cause, Final, Log, Outcome, Overloaded, Router, SinkClosed
-from ...transport.budget import Descriptors, Payloads, Use
+from ...transport.budget import Descriptors, Payloads
 from ...transport.connection import Connection, ConnectionLost
+from ..front import Front
 from . import kserve_pb2 as pb
 from .grpc import (
     LARGEST_REQUEST,
@@ -326,6 +327,12 @@
         self.going = False
         self.ending = trio.Event()
 
+    def close_if_idle(self) -> bool:
+        idle = not self.streams and not self.scope.cancel_called
+        if idle:
+            self.scope.cancel()
+        return idle
+
     def over(self, stream: ClientStream) -> None:
         self.streams.pop(stream.number, None)
         stream.release()
@@ -433,36 +440,24 @@
             self.ending.set()
 
 
-class KserveFront:
+class KserveFront(Front[ClientConnection]):
     def __init__(
         self,
-        core: Router,
         settings: FrontSettings,
         version: str,
+        core: Router,
         is_ready: Callable[[], bool],
         budget: Descriptors,
         payloads: Payloads,
         log: Log,
     ) -> None:
-        self.core = core
-        self.payloads = payloads
+        super().__init__(core, is_ready, budget, payloads, log)
         self.settings = settings
         self.version = version
-        self.is_ready = is_ready
         self.accepting = True
-        self._log = log
-        self._clients: set[ClientConnection] = set()
-        budget.evictors[Use.CLIENT].append(self.close_one_idle)
 
-    async def handle(self, connection: Connection) -> None:
-        client = ClientConnection(self, connection)
-        self._clients.add(client)
-        try:
-            await client.run()
-        except Exception as error:  # a peer's fault never ends the program
-            self._log("err", "FRONT", "fault on a gRPC connection", error=repr(error))
-        finally:
-            self._clients.discard(client)
+    def attend(self, connection: Connection) -> ClientConnection:
+        return ClientConnection(self, connection)
 
     def known_model(self, name: str) -> None:
         if name not in self.settings.models:
@@ -487,13 +482,6 @@
             case _:
                 raise GrpcError(Code.UNIMPLEMENTED, f"{method[:100]} is not served here")
 
-    def close_one_idle(self) -> bool:
-        """Ask one idle client connection to close; its descriptor comes free a moment later."""
-        client = next((c for c in self._clients if not c.streams and not c.scope.cancel_called), None)
-        if client is not None:
-            client.scope.cancel()
-        return False
-
     async def linger(self) -> None:
         await self._tell_going()
 
@@ -503,15 +491,10 @@
 
     async def _tell_going(self) -> None:
         """GOAWAY to all: first while still accepting, then for good."""
-        for client in list(self._clients):
+        for client in list(self.clients):
             client.go_away()
             with trio.move_on_after(0.2):
                 try:
                     await client.wire.flush()
                 except ConnectionLost:
                     client.scope.cancel()
-
-    async def closed(self, within_s: float) -> None:
-        with trio.move_on_after(within_s):
-            while self._clients:
-                await trio.sleep(0.01)
--- a/sorreldock/transport/pool.py
+++ b/sorreldock/transport/pool.py
@@ -20,6 +20,9 @@
     async def usable(self) -> bool:
         """Whether an idle one still carries a call."""
 
+    def renew(self) -> bool:
+        """Make ready for the next call, after one that went to its end; False if there can be none."""
+
 
 L = TypeVar("L", bound=Line)
 
@@ -57,8 +60,12 @@
         on_close = lambda: self._budget.give_back(Use.ENGINE)  # noqa: E731
         return self._wrap(await dial(self.address, self._connect_timeout_s, on_close))
 
-    def put(self, line: L) -> None:
-        self._idle.append((trio.current_time(), line))
+    def give_back(self, line: L, whole: bool) -> None:
+        """Keep the connection if its last exchange went to its end, else close it."""
+        if whole and line.renew():
+            self._idle.append((trio.current_time(), line))
+        else:
+            line.connection.close()
 
     def evict(self) -> bool:
         """Close the connection that has been idle longest, for somebody else's use."""
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -10,7 +10,7 @@
 from peers import EVENTS, FIELDS, Call, Discovery, Engine, among, story
 
 from sorreldock.program.phases import Phase
-from sorreldock.protocol.http import client as engine_client
+from sorreldock.protocol import engine as engine_client
 from sorreldock.protocol.http import discovery as resolver
 from sorreldock.protocol.http import front as http_front
 from sorreldock.transport.pool import Pool
--- a/tests/test_kserve.py
+++ b/tests/test_kserve.py
@@ -13,7 +13,7 @@
 from peers import among, story
 
 from sorreldock.program.phases import Phase
-from sorreldock.protocol.kserve import client as engine_client
+from sorreldock.protocol import engine as engine_client
 from sorreldock.protocol.kserve import front as kserve_front
 from sorreldock.protocol.kserve import kserve_pb2 as pb
 from sorreldock.protocol.kserve.grpc import Code, ServerWire
