--- a/sorreldock/program/serve.py
+++ b/sorreldock/program/serve.py
@@ -40,6 +40,7 @@
         self.listeners: dict[str, Listener] = {}
         self.addresses: dict[str, str] = {}  # where each front listens, by protocol
         self.serving = trio.Event()
+        self.linger_s = LINGER_S
 
     def ready(self) -> bool:
         return self.lifecycle.takes_work and self.core.can_serve()
@@ -95,7 +96,7 @@
             self.lifecycle.enter(Phase.LINGERING)
             for front in self.fronts.values():
                 await front.linger()
-            await trio.sleep(LINGER_S)
+            await trio.sleep(self.linger_s)
             for listener in self.listeners.values():
                 listener.close()
             self.lifecycle.enter(Phase.DRAINING)
--- a/sorreldock/protocol/http/client.py
+++ b/sorreldock/protocol/http/client.py
@@ -45,11 +45,11 @@
                 return event  # type: ignore[return-value]
 
     async def send(self, request: h11.Request, body: bytes = b"") -> None:
-        out = self.parser.send(request) or b""
-        if body:
-            out += self.parser.send(h11.Data(data=body)) or b""
-        out += self.parser.send(h11.EndOfMessage()) or b""
-        await self.connection.send(out)
+        parts = [self.parser.send(request) or b""]
+        if body:  # passed through as it is: a copy of each body in flight would weigh on the memory limit
+            parts += self.parser.send_with_data_passthrough(h11.Data(data=body)) or []
+        parts.append(self.parser.send(h11.EndOfMessage()) or b"")
+        await self.connection.send(*parts)
 
     async def rest(self) -> bytes:
         """The body of a short answer."""
--- a/sorreldock/routing/core.py
+++ b/sorreldock/routing/core.py
@@ -46,10 +46,11 @@
 class OpenRPC:
     """An RPC from its arrival to its one final answer, and until its last attempt has ended."""
 
-    __slots__ = ("answered", "attempts", "out", "rpc", "statuses")
+    __slots__ = ("answered", "arrived_at", "attempts", "out", "rpc", "statuses")
 
     def __init__(self, rpc: RPC) -> None:
         self.rpc = rpc
+        self.arrived_at = trio.current_time()
         self.attempts: list[CallAttempt | None] = []
         self.out = 0
         self.statuses: list[Status] = []
@@ -204,7 +205,7 @@
     # What the call attempts tell.
 
     def _attempt_began(self, attempt: CallAttempt) -> None:
-        latency = trio.current_time() - attempt.made_at
+        latency = attempt.first_s = trio.current_time() - attempt.made_at
         attempt.rpc.payload = None  # nothing more goes out for it
         self._post.send_nowait(
             FirstToken(attempt.rpc.key, attempt.number, attempt.subchannel.number, latency)
@@ -222,7 +223,21 @@
                 gone = report.status is Status.CANCELLED
                 outcome = Outcome.GONE if gone else Outcome.BROKEN
                 self._finish(entry, Final(outcome, Cause.ENGINE, True))
-        if report.status is not Status.OK:
+        if report.status is Status.OK:
+            self._log(
+                "debug",
+                "ANSWER",
+                "call attempt served",
+                rpc=attempt.rpc.key,
+                subchannel=attempt.subchannel.target.uid,
+                rpc_class=attempt.rpc.rpc_class,
+                tokens=attempt.rpc.prompt_tokens,
+                cached=report.cached_tokens,
+                held_s=round(attempt.made_at - entry.arrived_at, 4),
+                first_s=round(attempt.first_s, 4),
+                took_s=round(latency_s, 4),
+            )
+        else:
             self._log(
                 "info", "ATTEMPT", "call attempt ended without an answer",
                 rpc=attempt.rpc.key, number=attempt.number, subchannel=attempt.subchannel.target.uid,
--- a/sorreldock/routing/subchannel.py
+++ b/sorreldock/routing/subchannel.py
@@ -25,6 +25,7 @@
         self.scope = trio.CancelScope(deadline=self.made_at + timeout_s)
         self.sending = False
         self.started = False
+        self.first_s = 0.0
         self.given_up: Status | None = None  # why the router stopped it, if it did
         self._on_first = on_first
 
--- a/sorreldock/transport/connection.py
+++ b/sorreldock/transport/connection.py
@@ -23,7 +23,7 @@
 class Connection:
     """Bytes in both directions. Reading and writing may go on in two tasks; each alone in one at a time."""
 
-    __slots__ = ("_closed", "_incoming", "_on_close", "_outgoing", "_sock", "written")
+    __slots__ = ("_closed", "_incoming", "_on_close", "_outgoing", "_sock")
 
     def __init__(self, sock: trio.socket.SocketType, on_close: Callable[[], None]) -> None:
         self._sock = sock
@@ -31,7 +31,6 @@
         self._closed = False
         self._incoming = Ring(RING_BYTES)
         self._outgoing = Ring(RING_BYTES)
-        self.written = 0  # bytes that the kernel has taken
         if sock.family != socket.AF_UNIX:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
@@ -56,17 +55,24 @@
             await self.fill()
         return self._incoming.take()
 
-    async def send(self, data: bytes) -> None:
-        view = memoryview(data)
+    async def send(self, *parts: bytes) -> None:
+        """Write all parts; they meet in the ring, so that a short head and its body leave together."""
         try:
-            while view or self._outgoing:
-                view = view[self._outgoing.put(view) :]
-                sent = await self._sock.send(self._outgoing.held_span())
-                self._outgoing.shrank(sent)
-                self.written += sent
+            for part in parts:
+                view = memoryview(part)
+                while view:
+                    view = view[self._outgoing.put(view) :]
+                    if not self._outgoing.room:
+                        await self._push()
+            while self._outgoing:
+                await self._push()
         except OSError as error:
             raise ConnectionLost(str(error)) from None
 
+    async def _push(self) -> None:
+        sent = await self._sock.send(self._outgoing.held_span())
+        self._outgoing.shrank(sent)
+
     @property
     def readable(self) -> bool:
         """Whether something has arrived, be it the peer's end."""
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -302,6 +302,7 @@
             nursery.start_soon(router.program.run)
             await router.program.serving.wait()
             yield router
+            router.program.linger_s = 0.0  # nobody comes any more
             router.program.lifecycle.stop_asked.set()
         assert router.program.lifecycle.phase is Phase.STOPPED
         peers.cancel_scope.cancel()
