--- a/sorreldock/protocol/kserve/grpc.py
+++ b/sorreldock/protocol/kserve/grpc.py
@@ -158,7 +158,7 @@
 
 
 class H2Wire:
-    """A connection with its HTTP/2 state. Any task may change the state and then `flush`."""
+    """A connection with its HTTP/2 state: change the state, then `flush`."""
 
     def __init__(self, connection: Connection, client_side: bool, most_streams: int) -> None:
         self.connection = connection
@@ -173,7 +173,6 @@
             values[h2.settings.SettingCodes.ENABLE_PUSH] = 0
         self.h2.local_settings = h2.settings.Settings(client_side, values)
         self.h2.initiate_connection()
-        self._turn = trio.Lock()
         self._farewells = Farewells(preface=not client_side)
         self._raw = b""
         self.window_grew = trio.Event()
@@ -193,11 +192,10 @@
         return events + farewells
 
     async def flush(self) -> None:
-        """Write what the state has to say. The lock keeps frames of two tasks in their order."""
-        async with self._turn:
-            data = self.take_out()
-            if data:
-                await self.connection.send(data)
+        """Write what the state has to say. For one task alone; `ServerWire` serves many."""
+        data = self.take_out()
+        if data:
+            await self.connection.send(data)
 
     def take_out(self) -> bytes:
         data, self._raw = self.h2.data_to_send() + self._raw, b""
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from types import SimpleNamespace
 
 import pytest
 import trio
@@ -13,6 +14,7 @@
 from sorreldock.protocol import engine as engine_client
 from sorreldock.protocol.http import discovery as resolver
 from sorreldock.protocol.http import front as http_front
+from sorreldock.routing.subchannel import CallAttempt
 from sorreldock.transport.pool import Pool
 
 ONE = (
@@ -195,12 +197,12 @@
         hung, good = Engine(), Engine()
         hung.address = f"127.0.0.1:{stuck.getsockname()[1]}"
         discovery = Discovery(hung)
-        async with good.open(), among(discovery=discovery, limits={"connect_timeout_s": 15.0}) as router:
+        async with good.open(), among(discovery=discovery, limits={"connect_timeout_s": 60.0}) as router:
             await discovery.watching.wait()
             async with trio.open_nursery() as nursery:
 
                 async def ask() -> None:
-                    assert (await router.post(x_expires_in="16000m")).whole
+                    assert (await router.post(x_expires_in="60000m")).whole
 
                 nursery.start_soon(ask)
                 core = router.program.core
@@ -211,6 +213,15 @@
     assert len(good.calls) == 1
 
 
+@story
+async def test_an_attempt_whose_dial_ends_after_the_drain_is_not_sent_either() -> None:
+    subchannel = SimpleNamespace(ready=True)
+    attempt = CallAttempt(None, 0, subchannel, 1.0, lambda attempt: None)  # type: ignore[arg-type]
+    assert attempt.may_send()
+    subchannel.ready = False
+    assert not attempt.may_send()
+
+
 @story
 async def test_a_crowd_of_large_requests_is_refused_and_not_held() -> None:
     async with among(Engine()) as router:
--- a/tests/test_kserve.py
+++ b/tests/test_kserve.py
@@ -175,7 +175,8 @@
 
 
 @story
-async def test_a_cancel_in_mid_stream_reaches_the_engine() -> None:
+async def test_a_cancel_in_mid_stream_reaches_the_engine(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(engine_client, "SILENCE_S", 60.0)  # nothing else may end the attempt
     engine = SharedEngine(begin_and_hang)
     async with among(engine, operator=BOTH) as router, grpc_client(router) as client:
         stream = await client.start("ModelStreamInfer", request())
@@ -190,7 +191,8 @@
 
 
 @story
-async def test_a_client_that_vanishes_gives_up_its_calls() -> None:
+async def test_a_client_that_vanishes_gives_up_its_calls(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(engine_client, "SILENCE_S", 60.0)  # nothing else may end the attempt
     engine = SharedEngine(begin_and_hang)
     async with among(engine, operator=BOTH) as router:
         async with grpc_client(router) as client:
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,192 @@
+"""The core's guards, and the small parts whose every cut and order matters."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+import pytest
+import trio
+from hyperframe.frame import DataFrame, GoAwayFrame, SettingsFrame
+from hypothesis import given
+from hypothesis import strategies as st
+from peers import EVENTS, SETTINGS, Call, Engine, among, story
+
+from sorreldock.interface import AttemptEnded, Event, FirstToken, Metric, Probe, RequestArrived, Send, Status
+from sorreldock.protocol.kserve.grpc import Farewell, Farewells
+from sorreldock.protocol.loads import parse_load
+from sorreldock.transport.budget import Descriptors, Use
+from sorreldock.transport.ring import Ring
+from sorreldock.wire import decode_settings
+
+
+@given(st.lists(st.tuples(st.booleans(), st.binary(max_size=40))))
+def test_a_ring_gives_back_what_was_put_in_order(steps: list[tuple[bool, bytes]]) -> None:
+    ring, expected = Ring(32), b""
+    for take, data in steps:
+        if take:
+            assert ring.take() == expected
+            expected = b""
+        else:
+            done = ring.put(memoryview(data))
+            assert done == min(len(data), 32 - len(expected))
+            expected += data[:done]
+            span = bytes(ring.held_span())[:3]
+            assert expected.startswith(span)
+            ring.shrank(len(span))
+            expected = expected[len(span) :]
+    assert ring.take() == expected
+
+
+@given(st.lists(st.integers(1, 20)))
+def test_farewells_are_found_however_the_bytes_are_cut(cuts: list[int]) -> None:
+    plain = SettingsFrame(0).serialize() + DataFrame(1, data=b"\x07" * 12).serialize()
+    goodbye = GoAwayFrame(0, last_stream_id=5, error_code=2, additional_data=b"bye").serialize()
+    data, strip = plain + goodbye + plain, Farewells(preface=False)
+    rest, found = b"", []
+    for cut in [*cuts, len(data)]:
+        got, farewells = strip.strip(data[:cut])
+        data = data[cut:]
+        rest, found = rest + got, found + farewells
+    assert (rest, found) == (plain * 2, [Farewell(5, 2)])
+
+
+@pytest.mark.parametrize(
+    "text, load",
+    [
+        ("TEXT eps=0.5, queue=3", {Metric.ERROR_RATE: 0.5, Metric.QUEUE_LENGTH: 3.0}),
+        (" TEXT errors_per_s=0, backlog=1.03", {Metric.ERROR_RATE: 0.0, Metric.QUEUE_LENGTH: 1.03}),
+        ('JSON {"named_metrics.util": 0.6, "else": []}', {Metric.UTILIZATION: 0.6}),
+        ("TEXT queue=nan, util=many, =, x0", {}),
+        ("JSON [", {}),
+        ("", {}),
+    ],
+)
+def test_load_reports(text: str, load: dict[Metric, float]) -> None:
+    assert parse_load(text) == load
+
+
+class Recorder:
+    """Stands between the module's actor and the module."""
+
+    def __init__(self, gateway: Any, answer: Any = None) -> None:
+        self.handle, self.answer, self.events = gateway.handle, answer, []
+        gateway.handle = self
+
+    def __call__(self, now: float, events: Sequence[Event]) -> list[Any]:
+        self.events += events
+        actions = self.handle(now, events)
+        return actions if self.answer is None else self.answer(events)
+
+    def of(self, kind: type) -> list[Any]:
+        return [event for event in self.events if isinstance(event, kind)]
+
+
+@story
+async def test_the_end_of_a_stream_tells_the_module_load_and_kept_tokens() -> None:
+    async def report(call: Call) -> None:
+        await call.start(EVENTS[0])
+        usage = b'data: {"choices":[],"usage":{"prompt_tokens_details":{"cached_tokens":4096}}}\n\n'
+        tail = usage + b"data: [DONE]\n\n: Endpoint-Load-Metrics: TEXT errors_per_s=1.5, backlog=4\n\n"
+        for at in range(0, len(tail), 7):  # cut anywhere
+            await call.more(tail[at : at + 7])
+        await call.end()
+
+    async with among(Engine(report)) as router:
+        seen = Recorder(router.program.core._gateway)
+        assert (await router.post()).whole
+        while not seen.of(AttemptEnded):
+            await trio.sleep(0.001)
+    [first], [ended] = seen.of(FirstToken), seen.of(AttemptEnded)
+    assert 0 < first.latency_s <= ended.latency_s
+    assert (ended.status, ended.final, ended.cached_tokens) == (Status.OK, True, 4096)
+    assert ended.report == (1.5, 4.0)
+
+
+@story
+async def test_what_the_module_leaves_open_is_answered_by_the_deadline() -> None:
+    async with among(Engine()) as router:
+        Recorder(router.program.core._gateway, lambda events: [])
+        began = trio.current_time()
+        assert (await router.post(x_expires_in="200m")).status == 504
+        assert trio.current_time() - began < 0.25
+        assert not router.program.core.open
+
+
+@story
+async def test_two_attempts_are_never_out_at_once_whatever_the_module_says() -> None:
+    async def hang(call: Call) -> None:
+        await call.left()
+
+    engines = [Engine(hang), Engine(hang)]
+    async with among(*engines) as router:
+        core = router.program.core
+
+        def both(events: Sequence[Event]) -> list[Any]:
+            arrived = [e for e in events if isinstance(e, RequestArrived)]
+            return [Send(e.request, replica) for e in arrived for replica in core.subchannels]
+
+        seen = Recorder(core._gateway, both)
+        await router.post(x_expires_in="200m")
+        assert next(e.status for e in seen.of(AttemptEnded)) is Status.NOT_SENT
+    assert sum(len(engine.calls) for engine in engines) == 1
+
+
+@story
+async def test_probes_bring_load_and_a_stranger_is_not_probed() -> None:
+    async def load(call: Call) -> None:
+        assert call.head.target == b"/metrics/load"
+        await call.answer(200, b"TEXT errors_per_s=0.5, backlog=2")
+
+    async with among(Engine(load), limits={"probes": True}) as router:
+        core = router.program.core
+        seen = Recorder(core._gateway, lambda events: [])
+        core._decide([])
+        for replica in (*core.subchannels, 12345):
+            seen.answer = lambda events, replica=replica: [Probe(replica)]
+            core._decide([])
+        seen.answer = lambda events: []
+        while len(seen.events) < 2 or not all(hasattr(e, "report") for e in seen.events[-2:]):
+            await trio.sleep(0.001)
+    ended = {e.replica: (e.status, e.report) for e in seen.events if hasattr(e, "report")}
+    assert ended.pop(12345) == (Status.NOT_SENT, ())
+    assert list(ended.values()) == [(Status.OK, (0.5, 2.0))]
+
+
+@story
+async def test_an_engine_that_talks_nonsense_ends_its_attempt_only() -> None:
+    async def nonsense(call: Call) -> None:
+        await call.wire.stream.send_all(b"\x00\xff nonsense\r\n\r\n")
+
+    engine = Engine()
+    engine.scripts = [nonsense]
+    async with among(engine, Engine()) as router:
+        assert [(await router.post()).status for _ in range(3)] == [200] * 3
+
+
+@story
+async def test_idle_client_connections_make_room_for_new_ones() -> None:
+    async with among(Engine()) as router:
+        router.program.budget.most[Use.CLIENT] = 3
+        idle = [await router.connect() for _ in range(6)]
+        assert (await router.post()).whole
+        for wire in idle:
+            await wire.stream.aclose()
+
+
+def test_the_descriptor_budget_takes_an_idle_connection_before_it_says_no() -> None:
+    budget = Descriptors(100)
+    held = sum(budget.take(Use.ENGINE) for _ in range(100))
+    assert held == 18 and budget.used[Use.CLIENT] == 0
+
+    def evict() -> bool:
+        budget.give_back(Use.ENGINE)
+        return True
+
+    budget.evictors[Use.ENGINE].append(evict)
+    assert budget.take(Use.ENGINE) and budget.used[Use.ENGINE] == 18
+
+
+def test_the_settings_are_those_of_the_simulator() -> None:
+    limits = decode_settings(SETTINGS).limits
+    assert (limits.connect_timeout_s, limits.conn_idle_s) == (0.5, 60.0)
