--- a/sorreldock/protocol/kserve/client.py
+++ b/sorreldock/protocol/kserve/client.py
@@ -204,7 +204,7 @@
             (k, v) for k, v in exchange.trailers if not HOP.match(k) and k not in (LOAD, "x-never-ran")
         ]
         if code == Code.OK:
-            return Report(Status.OK, load)
+            return Report(Status.OK, load, verdict=GrpcError(Code.OK, text, metadata))
         if not started and code in VERDICTS:
             return Report(Status.OK, load, verdict=GrpcError(code, text, metadata))
         if not started and names.get("x-never-ran") == "1":
--- a/sorreldock/protocol/kserve/front.py
+++ b/sorreldock/protocol/kserve/front.py
@@ -65,7 +65,7 @@
 def answer_of(final: Final) -> GrpcError | None:
     """The status of an RPC's final answer; None for OK."""
     if isinstance(final.verdict, GrpcError):  # an engine's own word on a faulty request
-        return final.verdict
+        return final.verdict if final.verdict.code != Code.OK else None
     if final.outcome is Outcome.SERVED:
         return None
     if final.cause is Cause.DEADLINE:
@@ -98,6 +98,7 @@
         self.reset = False
         self.changed = trio.Event()
         self.head_sent = False
+        self.trailing: Headers = []  # the engine's own, for the client
         self.final: Final | None = None
         self.finished = trio.Event()
 
@@ -193,7 +194,7 @@
             with self.scope:
                 try:
                     await self.call()
-                    await self.close(Code.OK)
+                    await self.close(Code.OK, metadata=self.trailing)
                 except GrpcError as error:
                     await self.close(error.code, error.message, error.metadata)
         except (ConnectionLost, h2.exceptions.ProtocolError):
@@ -261,6 +262,8 @@
         error = answer_of(self.final)
         if error is not None:
             raise error
+        if isinstance(self.final.verdict, GrpcError):
+            self.trailing = self.final.verdict.metadata  # on a long stream, the last answer's
 
     def rpc(self, method: str, message: bytes, request_id: str) -> RPC:
         front = self.client.front
--- a/tests/test_kserve.py
+++ b/tests/test_kserve.py
@@ -78,11 +78,18 @@
 
 @story
 async def test_a_request_goes_on_untranslated() -> None:
-    engine = SharedEngine()
+    async def with_metadata(call: Stream) -> None:
+        await call.start()
+        await call.send(piece(1))
+        await call.finish(0, cost="7", endpoint_load_metrics="TEXT errors_per_s=0, backlog=2")
+
+    engine = SharedEngine(with_metadata)
     async with among(engine, operator=BOTH) as router, grpc_client(router) as client:
         message = request(text=b"x" * 200_000)
-        code, _ = await client.call("ModelInfer", message, my_own="kept", grpc_timeout="1500m")
+        stream = await client.start("ModelInfer", message, my_own="kept", grpc_timeout="1500m")
+        code, _ = await stream.answer()
     [call] = engine.grpc_calls
+    assert stream.trailers == {"grpc-status": "0", "cost": "7"}  # without what is meant for the router
     assert code == 0 and call.data[5:] == message and call.headers["my-own"] == "kept"
     assert call.headers[":path"].endswith("/ModelInfer") and "sorreldock-class" not in call.headers
     assert 1e6 < int(call.headers["grpc-timeout"].removesuffix("u")) < 1.5e6
