Survive a discovery that sends nonsense: nested brackets, numbers that are not finite

Seen in a story against a scripted discovery: brackets nested 100,000 deep raised RecursionError in json.loads, which the resolver did not expect, and the program ended; 1e999 as a cell raised OverflowError, and a weight of NaN reached the module's draw. All end the watch now, which is asked for again; load reports and usage events are guarded likewise.

--- a/sorreldock/protocol/http/client.py
+++ b/sorreldock/protocol/http/client.py
@@ -90,8 +90,8 @@
         try:
             cached = json.loads(text)["usage"]["prompt_tokens_details"]["cached_tokens"]
             self.cached_tokens = int(cached)
-        except (ValueError, TypeError, LookupError):
-            pass  # an engine may leave it out
+        except (ValueError, TypeError, LookupError, OverflowError, RecursionError):
+            pass  # an engine may leave it out, or write anything
 
 
 class HttpEngineClient(PooledEngineClient[EngineLine, EngineLine]):
--- a/sorreldock/protocol/http/discovery.py
+++ b/sorreldock/protocol/http/discovery.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import json
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -33,7 +34,7 @@
 
 def decode_target(raw: Any) -> Target:
     try:
-        return Target(
+        target = Target(
             uid=str(raw["uid"]),
             endpoint=str(raw["endpoint"]),
             zone=str(raw.get("az", "")),
@@ -43,8 +44,11 @@
             weight=float(raw.get("capacity_hint", 1.0)),
             started_at=float(raw.get("boot_ms", 0)) / 1000.0,
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise ListError(f"an entry of the list is malformed: {error!r}") from None
+    if not (math.isfinite(target.weight) and math.isfinite(target.started_at)):
+        raise ListError("an entry of the list is malformed: a number is not finite")
+    return target
 
 
 def decode_result(raw: Any, kind: ListKind | None = None) -> ResolverResult:
@@ -83,6 +87,8 @@
                 reason = "ended"
             except (ConnectionLost, DialFailed, h11.RemoteProtocolError, ListError) as error:
                 reason = str(error)
+            except Exception as error:  # whatever discovery may send must not end the program
+                reason = f"fault: {error!r}"
             self._log("notice", "WATCH", "the watch on the list is lost", reason=reason)
             self._on_result(ResolverResult(ListKind.LOST))
 
@@ -129,7 +135,7 @@
     def _take(self, line: bytes) -> None:
         try:
             raw = json.loads(line)
-        except ValueError:
+        except (ValueError, RecursionError):  # the latter from brackets nested without end
             raise ListError("a line of the watch is not JSON") from None
         result = decode_result(raw)
         self._version = result.version
--- a/sorreldock/protocol/loads.py
+++ b/sorreldock/protocol/loads.py
@@ -33,7 +33,7 @@
     if form == "JSON":
         try:
             whole = json.loads(rest)
-        except ValueError:
+        except (ValueError, RecursionError):
             return {}
         if isinstance(whole, dict):
             pairs = list(whole.items())
@@ -47,7 +47,7 @@
             continue
         try:
             number = float(value)
-        except ValueError:
+        except (ValueError, OverflowError):
             continue
         if math.isfinite(number):
             load[metric] = number
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -180,7 +180,7 @@
         self.states: dict[str, str] = {}
         self.changed = trio.Event()
         self.watching = trio.Event()
-        self.silent = False
+        self.nonsense: list[bytes] = []  # lines that come first, one a watch
 
     def targets(self) -> list[dict[str, Any]]:
         return [
@@ -206,6 +206,10 @@
             await Call(wire, None, b"").answer(503)  # type: ignore[arg-type]
             return
         await wire.send(h11.Response(status_code=200, headers=[]))
+        if self.nonsense:
+            await wire.send(h11.Data(data=self.nonsense.pop(0) + b"\n"))
+            await until_left(stream)
+            return
         while True:
             changed = self.changed
             await wire.send(h11.Data(data=json.dumps(self.listing()).encode() + b"\n"))
@@ -213,6 +217,11 @@
             await changed.wait()
 
 
+async def until_left(stream: Any) -> None:
+    while await stream.receive_some(4096):
+        pass
+
+
 @dataclass
 class Answer:
     status: int
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -8,7 +8,7 @@
 import pytest
 import trio
 import trio.testing
-from peers import EVENTS, FIELDS, Call, Discovery, Engine, among, story
+from peers import EVENTS, FIELDS, SETTINGS, Call, Discovery, Engine, among, story
 
 from sorreldock.program.phases import Phase
 from sorreldock.protocol import engine as engine_client
@@ -246,6 +246,25 @@
             await trio.sleep(0.01)
 
 
+@story
+async def test_a_list_of_nonsense_ends_the_watch_and_not_the_program() -> None:
+    engine = Engine()
+    discovery = Discovery(engine)
+    entry = b'{"rev":2,"targets":[{"uid":"x","endpoint":"127.0.0.1:1","az":"a","state":"Ready",%b}]}'
+    discovery.nonsense = [
+        b"[" * 100_000,
+        b"\xff",
+        entry % b'"capacity_hint":NaN',
+        entry % b'"pod_group":1e999',
+    ]
+    async with among(
+        engine, discovery=discovery, contract={**SETTINGS["contract"], "must_ask_in_s": 0.2}
+    ) as router:
+        await discovery.watching.wait()
+        assert discovery.watches == 5
+        assert (await router.post()).whole
+
+
 @story
 async def test_what_is_wrong_with_a_request_is_said() -> None:
     async with among(Engine()) as router:
