--- a/sorreldock/program/syslog.py
+++ b/sorreldock/program/syslog.py
@@ -7,7 +7,6 @@
 import socket
 import sys
 from collections import deque
-from collections.abc import Callable
 from datetime import UTC, datetime
 
 import trio
@@ -143,6 +142,3 @@
         with trio.move_on_after(within_s):
             while self._waiting:
                 await trio.sleep(0.01)
-
-
-NoLog: Callable[..., None] = lambda *_, **__: None  # noqa: E731
