Share gRPC framing and the KServe schema below the router's layers

The client library and the lab need the KServe messages and gRPC's framing, and may import nothing of the router's layers. sorreldock/kserve now holds the schema and the framing, which do no I/O; protocol/kserve keeps the connections. The package's own __init__ loads the decisions when they are asked for, so that importing sorreldock.client brings in no module of the router.

--- a/sorreldock/__init__.py
+++ b/sorreldock/__init__.py
@@ -1,6 +1,20 @@
-"""The decisions of a request router for fleets of language-model servers, as a library without I/O."""
+"""A request router for fleets of language-model servers; `Gateway`, its decisions, is free of I/O."""
 
-from .rules import Gateway
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from .rules import Gateway
 
 __version__ = "0.2.0"
 __all__ = ["Gateway", "__version__"]
+
+
+def __getattr__(name: str) -> Any:
+    """The decisions load when they are asked for: `sorreldock.client` imports nothing of the router."""
+    if name == "Gateway":
+        from .rules import Gateway
+
+        return Gateway
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- a/sorreldock/protocol/kserve/client.py
+++ b/sorreldock/protocol/kserve/client.py
@@ -13,28 +13,28 @@
 from google.protobuf.message import DecodeError
 
 from ...interface import Metric, Status
-from ...routing.types import RPC, CallProgress, Report
-from ...transport.budget import Descriptors
-from ...transport.connection import Connection, ConnectionLost
-from ...transport.pool import Pool
-from .. import engine
-from ..engine import NeverTaken, PooledEngineClient, ProtocolFault
-from ..loads import HEADER, parse_load
-from . import kserve_pb2 as pb
-from .front import HOP, KservePayload
-from .grpc import (
+from ...kserve import kserve_pb2 as pb
+from ...kserve.framing import (
     LARGEST_ANSWER,
     SERVICE,
     Code,
     Farewell,
     GrpcError,
-    H2Wire,
     Headers,
     Unframer,
     format_timeout,
     frame,
     status_of,
 )
+from ...routing.types import RPC, CallProgress, Report
+from ...transport.budget import Descriptors
+from ...transport.connection import Connection, ConnectionLost
+from ...transport.pool import Pool
+from .. import engine
+from ..engine import NeverTaken, PooledEngineClient, ProtocolFault
+from ..loads import HEADER, parse_load
+from .front import HOP, KservePayload
+from .grpc import H2Wire
 
 LOAD = HEADER.lower()
 # The request is at fault, not the engine: another would say the same, so the client gets this word as it is.
--- a/sorreldock/protocol/kserve/front.py
+++ b/sorreldock/protocol/kserve/front.py
@@ -15,24 +15,24 @@
 from google.protobuf.message import DecodeError, Message
 from hyperframe.frame import GoAwayFrame
 
-from ...routing.types import RPC, Cause, Final, Log, NameTaken, Outcome, Overloaded, Router, SinkClosed
-from ...transport.budget import Descriptors, Payloads
-from ...transport.connection import Connection, ConnectionLost
-from .. import front as limits
-from ..front import Front
-from . import kserve_pb2 as pb
-from .grpc import (
+from ...kserve import kserve_pb2 as pb
+from ...kserve.framing import (
     SERVICE,
     Code,
     Farewell,
     GrpcError,
     Headers,
-    ServerWire,
     Unframer,
     frame,
     parse_timeout,
     trailers,
 )
+from ...routing.types import RPC, Cause, Final, Log, NameTaken, Outcome, Overloaded, Router, SinkClosed
+from ...transport.budget import Descriptors, Payloads
+from ...transport.connection import Connection, ConnectionLost
+from .. import front as limits
+from ..front import Front
+from .grpc import ServerWire
 
 MOST_STREAMS = 64  # at once on a connection
 PING_S = 10.0  # for the answer to a keepalive ping
--- a/tests/grpc_peers.py
+++ b/tests/grpc_peers.py
@@ -16,9 +16,9 @@
 import trio
 from peers import Engine, Router
 
+from sorreldock.kserve import kserve_pb2 as pb
+from sorreldock.kserve.framing import Farewells
 from sorreldock.program.config import Kserve, Operator
-from sorreldock.protocol.kserve import kserve_pb2 as pb
-from sorreldock.protocol.kserve.grpc import Farewells
 
 METADATA = {"sorreldock-class": "alt-text", "sorreldock-tenant": "acme", "sorreldock-session": "s1"}
 BOTH = Operator(
--- a/tests/test_bad_days.py
+++ b/tests/test_bad_days.py
@@ -13,10 +13,10 @@
 from test_parts import Recorder
 
 from sorreldock.interface import AttemptEnded, Status
+from sorreldock.kserve.framing import Code
 from sorreldock.protocol import engine as engine_client
 from sorreldock.protocol import front as limits
 from sorreldock.protocol.http.client import Events
-from sorreldock.protocol.kserve.grpc import Code
 from sorreldock.transport.budget import Use
 
 HEAD = request("POST", "/v1/chat/completions", b"", FIELDS)
--- a/tests/test_kserve.py
+++ b/tests/test_kserve.py
@@ -12,11 +12,12 @@
 from hyperframe.frame import GoAwayFrame
 from peers import among, story
 
+from sorreldock.kserve import kserve_pb2 as pb
+from sorreldock.kserve.framing import Code
 from sorreldock.program.phases import Phase
 from sorreldock.protocol import engine as engine_client
 from sorreldock.protocol.kserve import front as kserve_front
-from sorreldock.protocol.kserve import kserve_pb2 as pb
-from sorreldock.protocol.kserve.grpc import Code, ServerWire
+from sorreldock.protocol.kserve.grpc import ServerWire
 from sorreldock.transport.connection import Connection
 
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -13,7 +13,7 @@
 ALLOWED = {
     "routing": {"routing"},
     "transport": {"transport"},
-    "protocol": {"protocol", "transport", "routing.types"},
+    "protocol": {"protocol", "transport", "routing.types", "kserve"},
     "program": {"program", "protocol", "transport", "routing"},
 }
 INHERITED = {"interface", "rules", "wire"}
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -15,8 +15,8 @@
 from peers import EVENTS, SETTINGS, Call, Engine, among, story
 
 from sorreldock.interface import AttemptEnded, Event, FirstToken, Metric, Probe, RequestArrived, Send, Status
+from sorreldock.kserve.framing import Farewell, Farewells
 from sorreldock.program.serve import most_open, payload_bytes
-from sorreldock.protocol.kserve.grpc import Farewell, Farewells
 from sorreldock.protocol.loads import parse_load
 from sorreldock.transport.budget import Descriptors, Use
 from sorreldock.transport.ring import Ring
