Add the client library: one deadline, safe retries under a budget, spread reconnections

Cataloguing tools each speak to the routers in their own way: they lose the caller's deadline, repeat refusals at once and all come back in the second after a deploy. sorreldock.client does it once, for asyncio and trio (anyio) and blocking scripts, over the platform's HTTP/1.1 and KServe v2 over gRPC. Its decisions (deadline, retry, refusal, router, reconnection) are modules without I/O, clock or randomness; the wires are h11 and h2 on plain sockets, which know what a router can't have read.

--- /dev/null
+++ b/sorreldock/client/__init__.py
@@ -0,0 +1,27 @@
+"""The client library: one call, one deadline, one retry at most, and no reconnection storm.
+
+Needs `pip install sorreldock[client]` and imports nothing of the router. docs/client.md says what it decides.
+"""
+
+from . import blocking
+from .client import Answer, Client, Whole
+from .policy.picker import Endpoint, PickRules
+from .policy.reconnect import ReconnectRules
+from .stats import Stats
+from .types import (
+    Broken,
+    ClientClosed,
+    ClientError,
+    ClientSettings,
+    DeadlineExceeded,
+    Failed,
+    Refused,
+    Request,
+    text_of,
+)
+
+__all__ = [
+    "Answer", "Broken", "Client", "ClientClosed", "ClientError", "ClientSettings", "DeadlineExceeded",
+    "Endpoint", "Failed", "PickRules", "ReconnectRules", "Refused", "Request", "Stats", "Whole",
+    "blocking", "text_of",
+]  # fmt: skip
--- /dev/null
+++ b/sorreldock/client/command.py
@@ -0,0 +1,127 @@
+"""`sorreldock ask`: the library at a terminal."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import sys
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+from rich.console import Console
+
+from ..kserve import kserve_pb2 as pb
+from .client import Answer, Client
+from .types import Broken, ClientError, ClientSettings, DeadlineExceeded, Refused, Request, text_of
+
+EXITS = {"answered": 0, "refused": 3, "failed": 4, "broken": 5, "deadline": 6}  # 2 is a wrong command line
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    routers: list[str]
+    request: Request
+    settings: ClientSettings
+    protocol: str = "http"
+    timeout_s: float = 10.0
+    as_json: bool = False
+
+
+def chat_body(model: str, prompt: str, max_output_tokens: int) -> bytes:
+    chat: dict[str, Any] = {"model": model, "stream": True}
+    if max_output_tokens:
+        chat["max_tokens"] = max_output_tokens
+    chat["messages"] = [{"role": "user", "content": prompt}]
+    return json.dumps(chat).encode()
+
+
+def text_in(event: bytes, protocol: str) -> str:
+    """The text that an event adds, on either protocol."""
+    if protocol == "http":
+        return text_of(event)
+    answer = pb.ModelStreamInferResponse.FromString(event).infer_response
+    raw = answer.raw_output_contents[0] if answer.raw_output_contents else b""
+    return raw[4:].decode(errors="replace")
+
+
+def outcome_of(error: ClientError) -> str:
+    if isinstance(error, Refused):
+        return "refused"
+    if isinstance(error, DeadlineExceeded):
+        return "deadline"
+    return "broken" if isinstance(error, Broken) else "failed"
+
+
+class Screen:
+    """What the person or the program at the other end sees."""
+
+    def __init__(self, ask: Ask) -> None:
+        self.ask = ask
+        self.since = time.monotonic()
+        self.events = 0
+        self.console = Console(stderr=True)
+
+    def record(self, **fields: Any) -> None:
+        at = round(time.monotonic() - self.since, 4)
+        print(json.dumps({"at_s": at, **fields}), flush=True)
+
+    @contextlib.contextmanager
+    def waiting(self) -> Iterator[None]:
+        """A spinner on a terminal, nothing in a pipe."""
+        if self.ask.as_json or not sys.stderr.isatty():
+            yield
+            return
+        with self.console.status("asking ..."):
+            yield
+
+    def event(self, event: bytes, answer: Answer) -> None:
+        self.events += 1
+        text = text_in(event, self.ask.protocol)
+        if self.ask.as_json:
+            data = event.decode(errors="replace") if self.ask.protocol == "http" else event.hex()
+            self.record(event=self.events, attempts=answer.attempts, text=text, data=data)
+        elif text:
+            sys.stdout.write(text)
+            sys.stdout.flush()
+
+    def end(self, outcome: str, attempts: int, retries: int, router: str, error: ClientError | None) -> None:
+        if self.ask.as_json:
+            fields: dict[str, Any] = {"outcome": outcome, "events": self.events}
+            if error is not None:
+                fields |= {
+                    "cause": error.cause, "may_have_run": error.may_have_run,
+                    "retry_after_s": error.retry_after_s,
+                }  # fmt: skip
+            self.record(**fields, attempts=attempts, retries=retries, router=router)
+            return
+        if self.events:
+            print(flush=True)
+        if error is not None:
+            print(f"sorreldock: {outcome}: {error}", file=sys.stderr)
+
+
+async def _ask(ask: Ask) -> int:
+    screen = Screen(ask)
+    try:
+        async with (
+            Client(ask.routers, ask.settings, ask.protocol) as client,
+            contextlib.AsyncExitStack() as stack,
+        ):
+            with screen.waiting():
+                answer = await stack.enter_async_context(client.stream(ask.request, ask.timeout_s))
+            async for event in answer:
+                screen.event(event, answer)
+    except ClientError as error:
+        outcome = outcome_of(error)
+        screen.end(outcome, error.attempts, error.retries, error.router, error)
+        return EXITS[outcome]
+    screen.end("answered", answer.attempts, answer.retries, answer.router, None)
+    return 0
+
+
+def run(ask: Ask) -> int:
+    """The command's exit status. ValueError for settings that make no sense."""
+    return anyio.run(_ask, ask, backend="trio")
--- /dev/null
+++ b/sorreldock/client/policy/reconnect.py
@@ -0,0 +1,168 @@
+"""When a connection may be opened: at once within a small rate, and after a loss in a jittered turn.
+
+A deploy ends the connections of every client within one second. Nobody tells the clients of each other, so
+each draws its own moment: after a loss (a connection that the router ended, or said it would end, between
+answers) the next dial waits for a *turn*, drawn with decorrelated jitter (AWS's `min(cap, uniform(base, 3 *
+previous))`), which widens with each dial that fails. A dial that fails without a loss before it (a router
+that was never there) costs a token of a small rate instead, and the call goes on to another router at once.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ReconnectRules:
+    base_s: float = 0.05  # the least delay of a turn
+    first_window_s: float = 4.4  # the first turn after a loss lies within this
+    widen: float = 1.25  # with each dial that fails
+    cap_s: float = 20.0
+    calm_rate_per_s: float = 64.0  # dials while nothing has been lost or has failed: refill, and the most
+    calm_burst: int = 64
+    rate_per_s: float = 1.0  # the same for `settle_s` after a loss, from the dial on that had its turn
+    burst: int = 1
+    failed_rate_per_s: float = 0.5  # and while dials fail
+    failed_burst: int = 3
+    settle_s: float = 10.0
+    forget_s: float = 60.0  # without a failure or loss: the jitter begins anew
+
+
+class Rate:
+    """A token bucket on the caller's clock; a clock that steps back adds nothing and takes nothing."""
+
+    def __init__(self, per_s: float, burst: float) -> None:
+        self._per_s, self._burst = per_s, burst
+        self._tokens = float(burst)
+        self._at: float | None = None
+
+    def _fill(self, now: float) -> None:
+        if self._at is not None:
+            self._tokens = min(self._burst, self._tokens + max(now - self._at, 0.0) * self._per_s)
+        self._at = now
+
+    def take(self, now: float) -> bool:
+        self._fill(now)
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def drain(self, now: float) -> None:
+        self._tokens, self._at = 0.0, now
+
+    def wait_s(self, now: float) -> float:
+        """Seconds until a token is there."""
+        self._fill(now)
+        return 0.0 if self._tokens >= 1.0 else (1.0 - self._tokens) / self._per_s
+
+
+class Reconnect:
+    """The gate that every dial of a client passes."""
+
+    def __init__(self, rules: ReconnectRules) -> None:
+        self.rules = rules
+        self.turn_at: float | None = None  # set while a loss has not been followed by a dial that came up
+        self.turn_of: float = 0.0  # when it was drawn
+        self.failures = 0
+        self.owed = 0  # idle connections that were lost, to be opened again one by one
+        self._previous = rules.first_window_s / 3
+        self._window = rules.first_window_s  # that the present turn was drawn from
+        self._heard: float | None = None
+        self._calm = Rate(rules.calm_rate_per_s, rules.calm_burst)
+        self._rate = Rate(rules.rate_per_s, rules.burst)
+        self._failed_rate = Rate(rules.failed_rate_per_s, rules.failed_burst)
+        self._failing = False
+
+    @property
+    def gated(self) -> bool:
+        return self.turn_at is not None
+
+    def _draw(self, now: float, draw: float) -> float:
+        rules = self.rules
+        if self._heard is not None and now - self._heard > rules.forget_s:
+            self._previous, self.failures = rules.first_window_s / 3, 0
+        self._heard = now
+        self._window = min(rules.cap_s, 3 * self._previous)
+        delay = rules.base_s + draw * max(self._window - rules.base_s, 0.0)
+        # The window never narrows below the first: a small draw must not make the next ones small as well.
+        self._previous = max(delay, rules.first_window_s / 3)
+        return delay
+
+    def lost(self, now: float, draw: float, idle: bool) -> float | None:
+        """The router has ended a connection, or has said that it will. Returns the delay of the turn in
+        seconds; None when a turn is drawn already, since one deploy is one reason to wait."""
+        if idle:
+            self.owed = min(self.owed + 1, 2)
+        if self.turn_at is not None:
+            return None
+        delay = self._draw(now, draw)
+        self.turn_at, self.turn_of = now + delay, now
+        return delay
+
+    def failed(self, now: float, draw: float) -> float | None:
+        """A dial has failed. After a loss the next turn is drawn, wider; returns its delay."""
+        self.failures += 1
+        self._failing = True
+        if self.turn_at is None:
+            return None
+        self._previous = min(self._previous * self.rules.widen, self.rules.cap_s / 3)
+        delay = self._draw(now, draw)
+        self.turn_at, self.turn_of = now + delay, now
+        return delay
+
+    def opened(self, now: float) -> None:
+        """A dial has come up: the gate opens, and what else is to be dialled keeps to the rate, from now on:
+        calls that waited for the turn together share its connection rather than bring one each."""
+        if self.turn_at is not None:
+            self._rate.drain(now)
+        self.turn_at = None
+        self.failures = 0
+        self._failing = False
+        self._previous = self.rules.first_window_s / 3
+
+    def may_dial_at(self, now: float, latest: float, dialling: int, alive: bool) -> float | None:
+        """The moment at which a request in hand may dial a router; None if none is left before `latest`,
+        its last useful one. `now` means at once, and takes a token.
+
+        `dialling` counts the client's dials under way, and `alive` says that it holds a connection to this
+        router which has not been told to end: a turn does not bind such a router. While a turn is awaited
+        one dial alone goes, and a request whose deadline is nearer than the turn takes its place at the
+        same share of its own time, so that a crowd of short deadlines is spread as well.
+        """
+        if now > latest:
+            return None
+        if self.turn_at is not None and not alive:
+            if dialling:
+                return min(now + self.rules.base_s, latest)
+            at = self.turn_at
+            if at > latest:
+                share = (at - self.turn_of) / max(self._window, 1e-9)
+                at = self.turn_of + min(share, 1.0) * max(latest - self.turn_of, 0.0)
+                if self.failures:  # a deadline that nears is no reason to knock ever faster
+                    at = max(at, self.turn_of + min(0.1 * 2**self.failures, 0.4))
+                    if at > latest:
+                        return None
+            return max(at, now)
+        rate = self._bucket(now)
+        if rate.take(now):
+            return now
+        at = now + rate.wait_s(now)
+        return at if at <= latest else None
+
+    def _bucket(self, now: float) -> Rate:
+        if self._failing:
+            return self._failed_rate
+        unsettled = self._heard is not None and 0 <= now - self._heard < self.rules.settle_s
+        return self._rate if unsettled else self._calm
+
+    def may_reopen(self, now: float) -> bool:
+        """Whether the next idle connection that was lost may be opened again, in nobody's hand."""
+        if not self.owed or (self.turn_at is not None and now < self.turn_at):
+            return False
+        return self.turn_at is not None or self._bucket(now).take(now)
+
+    def reopened(self, now: float, draw: float) -> float:
+        """One was; the next waits for a turn of its own, which holds up no request. Returns its delay."""
+        self.owed = max(self.owed - 1, 0)
+        return self._draw(now, draw)
