Add the lab: emulated fleets, demo, ask, and the reconnection experiment

What the client library does after a deploy has to be shown on real routers, and a newcomer needs something that runs. sorreldock.lab has pure models of an engine (continuous batching, chunked prompts, kept openings, cold start) and of discovery, puts them on loopback sockets (HTTP and gRPC), starts real routers as processes, and compares the library with a client that reconnects and retries at once. sorreldock demo, ask and lab fleet|check|reconnect run it; ./run sets up and hands over. The platform's path imports none of it.

--- /dev/null
+++ b/sorreldock/lab/__init__.py
@@ -0,0 +1,5 @@
+"""The lab: emulated fleets on loopback, and experiments on them (`pip install sorreldock[lab]`).
+
+`engine` and `directory` are models without I/O, clock or randomness of their own; `serving` puts them on
+sockets; `processes` starts a fleet and real routers. `serve` imports none of it.
+"""
--- a/sorreldock/program/cli.py
+++ b/sorreldock/program/cli.py
@@ -9,7 +9,7 @@
 import typer
 
 from .. import __version__
-from . import hangup
+from . import extras, hangup
 from .config import Config, ConfigError, load
 
 app = typer.Typer(
@@ -59,6 +59,11 @@
     )
 
 
+app.command()(extras.ask)
+app.command()(extras.demo)
+app.add_typer(extras.lab, name="lab")
+
+
 @app.command()
 def version() -> None:
     """Print the version."""
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,238 @@
+"""The lab's models to their edges, its files, and the commands as a newcomer starts them."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from client_peers import Stub, answers, beside_host, hosted, refusal
+
+from sorreldock.lab.directory import Directory, Entry
+from sorreldock.lab.engine import Engine, Job, Verdict
+from sorreldock.lab.ledger import Ledger
+from sorreldock.lab.settings import EngineSettings, LabError, load, router_settings
+from sorreldock.wire import decode_settings
+
+ROOT = Path(__file__).parent.parent
+FILES = sorted((ROOT / "deploy" / "lab").glob("*.toml"))
+PLAIN = EngineSettings(
+    batch=2, queue=1, step_s=0.01, crowd=0.0, prompt_tokens_per_s=1000.0, chunk_tokens=100, memory_tokens=1000
+)
+
+
+def job(name: str, prompt: int = 100, output: int = 3, opening: str = "", opening_tokens: int = 0) -> Job:
+    return Job(name, prompt, output, opening, opening_tokens)
+
+
+def run(engine: Engine, until: float = 1e9) -> dict[str, list[float]]:
+    """When each request got its tokens."""
+    got: dict[str, list[float]] = {}
+    while (at := engine.next_at()) is not None and at <= until:
+        for output in engine.advance(at):
+            got.setdefault(output.name, []).append(round(output.at, 6))
+    return got
+
+
+def test_a_prompt_is_read_in_chunks_and_then_each_step_gives_a_token() -> None:
+    engine = Engine(PLAIN)
+    assert engine.offer(0.0, job("a", prompt=150)) is Verdict.TAKEN
+    assert run(engine) == {"a": [0.17, 0.18, 0.19]}  # 0.1 + 0.01, then 0.05 + 0.01: the first token
+
+
+def test_batch_queue_and_memory_are_bounds() -> None:
+    engine = Engine(PLAIN)
+    said = [engine.offer(0.0, job(name)) for name in "abcd"]
+    assert said == [Verdict.TAKEN] * 3 + [Verdict.TAKEN]  # one runs, the others wait for the next step
+    assert engine.offer(0.0, job("a")) is Verdict.TWICE
+    engine.advance(0.11)
+    assert len(engine.running) == 2 and engine.offer(0.12, job("e")) is Verdict.FULL
+    assert engine.offer(0.12, job("f", prompt=2000)) is Verdict.TOO_LARGE
+    assert engine.cancel(0.12, "d") and not engine.cancel(0.12, "a")
+    engine.drain()
+    assert engine.offer(0.13, job("g")) is Verdict.DRAINING
+    assert set(run(engine)) == {"a", "b", "c"} and not engine.running and engine.next_at() is None
+    small = Engine(PLAIN)
+    for name in "ab":
+        small.offer(0.0, job(name, prompt=590, output=10))
+    small.advance(0.2)
+    assert list(small.running) == ["a"]  # both together need more memory than there is
+
+
+def test_openings_are_kept_and_the_oldest_gives_way() -> None:
+    engine = Engine(PLAIN)
+    first = []
+    for name, opening in (("a", "x"), ("b", "x"), ("c", "y"), ("d", "z"), ("e", "x")):
+        now = float(len(first))
+        engine.offer(now, job(name, prompt=100, output=1, opening=opening, opening_tokens=80))
+        first.append(round(run(engine)[name][0] - now, 6))
+    assert first == [0.11, 0.03, 0.11, 0.11, 0.03]
+    tight = Engine(EngineSettings(memory_tokens=200, step_s=0.01, prompt_tokens_per_s=1000.0, crowd=0.0))
+    for now, opening in enumerate("xyzx"):
+        tight.offer(float(now), job(f"{now}", prompt=100, output=1, opening=opening, opening_tokens=90))
+        kept = [o.kept_tokens for o in tight.advance(now + 0.9)]
+    assert kept == [0]
+
+
+def test_a_cold_engine_is_slow_warms_up_and_falls_over_when_it_is_pushed() -> None:
+    cold = EngineSettings(step_s=0.01, crowd=0.0, cold_share=0.1, warm_up_s=10.0, batch=4,
+                          prompt_tokens_per_s=1000.0, fall_multiple=2.0, fall_window_s=1.0)  # fmt: skip
+    engine = Engine(cold, started_at=0.0)
+    assert engine.share(0.0) == 0.1 and engine.share(5.0) == pytest.approx(0.55) and engine.share(10.0) == 1.0
+    assert engine.offer(0.0, job("a", prompt=90, output=1)) is Verdict.TAKEN
+    assert engine.next_at() == pytest.approx(1.0)  # ten times slower than 0.09 + 0.01
+    assert engine.offer(0.0, job("b", prompt=90, output=1)) is Verdict.TAKEN
+    assert engine.offer(0.5, job("c", prompt=200, output=1)) is Verdict.FALLEN
+    assert engine.fallen and engine.offer(9.0, job("d")) is Verdict.FALLEN and engine.next_at() is None
+    warm = Engine(cold)
+    assert [warm.offer(0.0, job(str(n), prompt=500)) for n in range(4)] == [Verdict.TAKEN] * 4
+
+
+def test_failures_are_the_same_for_the_same_names_and_reports_lag() -> None:
+    engine = Engine(EngineSettings(fail_share=0.5, report_every_s=0.2))
+    said = [engine.offer(0.0, job(str(n))) for n in range(40)]
+    again = Engine(EngineSettings(fail_share=0.5))
+    assert said == [again.offer(0.0, job(str(n))) for n in range(40)]
+    errors = said.count(Verdict.ERROR)
+    assert 10 < errors < 30
+    assert engine.report(0.0).eps == errors
+    engine.offer(0.1, job("late"))
+    assert engine.report(0.1).inflight == 40 - errors
+
+
+def test_discovery_tells_late_in_order_and_from_where_a_watch_left_off() -> None:
+    directory = Directory(late_s=1.0)
+    directory.publish(0.0, Entry("a", "h:1", "z"))
+    directory.publish(0.5, Entry("b", "h:2", "z"))
+    directory.state(0.9, "a", "Terminating")
+    assert directory.whole(0.9)["targets"] == [] and directory.since(0.9, 0) is None
+    assert directory.next_at(0.9) == 1.0
+    assert [t["uid"] for t in directory.whole(1.5)["targets"]] == ["a", "b"]
+    assert directory.since(1.5, 1)["targets"][0]["uid"] == "b"  # type: ignore[index]
+    assert directory.whole(2.0)["targets"][0]["state"] == "Terminating"
+    directory.state(2.0, "a", "Gone")
+    assert [t["uid"] for t in directory.whole(3.0)["targets"]] == ["b"]
+    assert directory.since(3.0, 99)["all"]  # type: ignore[index]
+    with pytest.raises(KeyError):
+        directory.state(3.0, "c", "Gone")
+    with pytest.raises(ValueError):
+        directory.publish(3.0, Entry("c", "h:3", "z", state="Lost"))
+
+
+def test_the_ledger_counts_what_overlaps() -> None:
+    ledger = Ledger()
+    for key in ("a", "b", "a"):
+        ledger.begin(key)
+    ledger.end("a")
+    ledger.end("a")
+    ledger.begin("a")
+    assert (ledger.attempts, ledger.overlaps, ledger.most_open) == (4, 1, 2)
+
+
+@pytest.mark.parametrize("path", FILES, ids=lambda path: path.stem)
+def test_the_files_that_we_ship_are_read_and_make_a_routers_settings(path: Path) -> None:
+    fleet = load(path)
+    settings = decode_settings(router_settings(fleet, 0, 2, fleet.zones[0]))
+    assert [c.name for c in settings.classes] == [c.name for c in fleet.classes]
+
+
+LEAST = (
+    'name = "x"\nzones = ["z"]\nengines = [{kind = "g"}]\n'
+    'classes = [{name = "c", aim_s = 1, deadline_s = 2}]\n'
+)
+
+
+@pytest.mark.parametrize(
+    "old, new, said",
+    [
+        ('name = "x"\n', "", "missing required field `name`"),
+        ("zones", "colour = 1\nzones", "unknown field `colour`"),
+        ('"x"', "3", "Expected `str`"),
+        ('["z"]', "[]", "length >= 1"),
+        ('["z"]', '["z", "z"]', "zones: a name is given twice"),
+        ('"g"', '"g", zone = "y"', "zone y is not among the zones"),
+        ('"g"', '"g", step_s = 0', "float` > 0"),
+        ('"g"', '"g', "line 3"),
+    ],
+)
+def test_a_file_that_cannot_be_used_is_one_plain_line(tmp_path: Path, old: str, new: str, said: str) -> None:
+    path = tmp_path / "f.toml"
+    path.write_text(LEAST)
+    load(path)
+    path.write_text(LEAST.replace(old, new, 1))
+    with pytest.raises(LabError) as error:
+        load(path)
+    assert said in str(error.value) and "\n" not in str(error.value)
+
+
+def test_a_command_with_a_bad_file_ends_with_status_2(tmp_path: Path) -> None:
+    done = command("lab", "check", str(tmp_path / "none.toml"))
+    assert (done.returncode, done.stderr.count("\n")) == (2, 1) and done.stderr.startswith("sorreldock: ")
+
+
+def command(*words: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", "sorreldock", *words], cwd=ROOT, capture_output=True, text=True, timeout=60
+    )
+
+
+@beside_host
+def test_ask_says_by_its_exit_status_how_it_went() -> None:
+    def ask(*words: str) -> tuple[int, list[dict[str, object]]]:
+        done = command("ask", "--json", "--timeout", "2", "--retries", "0", *words, "a flooded street")
+        return done.returncode, [json.loads(line) for line in done.stdout.splitlines()]
+
+    event = b'data: {"choices":[{"delta":{"content":"a street"}}]}\n\n'
+    good = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n" % (len(event), event)
+    cut = good[: good.index(b"0\r\n\r\n")].replace(b"transfer-encoding: chunked", b"content-length: 999")
+    with hosted(Stub(answers(good)).on()) as stub:
+        status, records = ask("--router", stub.address)
+        assert status == 0 and records[0]["text"] == "a street"
+        assert (records[1]["outcome"], records[1]["attempts"]) == ("answered", 1)
+    with hosted(Stub(answers(refusal("9"))).on()) as stub:
+        status, records = ask("--router", stub.address)
+        assert status == 3 and records[0]["retry_after_s"] == 9.0
+    with hosted(Stub(answers(refusal("", 500))).on()) as stub:
+        assert ask("--router", stub.address)[0] == 4
+
+    async def breaks(stub: Stub, stream: object) -> None:
+        await stub.request(stream)
+        await stream.send_all(cut)  # type: ignore[attr-defined]
+
+    with hosted(Stub(breaks).on()) as stub:
+        assert ask("--router", stub.address)[0] == 5
+    assert ask("--router", "nowhere")[0] == 2
+    with socket.create_server(("127.0.0.1", 0)) as silent:
+        port = silent.getsockname()[1]
+        assert ask("--router", f"127.0.0.1:{port}", "--timeout", "0.3")[0] == 6
+
+
+def test_the_demo_is_ready_soon_answers_and_leaves_no_process_behind() -> None:
+    demo = subprocess.Popen(
+        [sys.executable, "-m", "sorreldock", "demo"], cwd=ROOT, stdout=subprocess.PIPE, text=True,
+        env={**os.environ, "SORRELDOCK_RUN": f"{sys.executable} -m sorreldock"},
+    )  # fmt: skip
+    assert demo.stdout is not None
+    lines = []
+    while not lines or not lines[-1].startswith("Ctrl-C"):
+        line = demo.stdout.readline()
+        assert line, lines
+        lines.append(line)
+    assert float(lines[0].split()[2]) < 5.0  # ready in N s
+    children = subprocess.run(["ps", "-o", "pid=", "--ppid", str(demo.pid)], capture_output=True, text=True)
+    pids = [int(pid) for pid in children.stdout.split()]
+    assert len(pids) == 3  # the fleet and two routers
+    for line in lines:
+        if line.startswith("  ") and "ask" in line:
+            done = subprocess.run(line, shell=True, cwd=ROOT, capture_output=True, text=True, timeout=30)
+            assert done.returncode == 0 and len(done.stdout) > 100, done.stderr
+    demo.send_signal(signal.SIGINT)
+    assert demo.wait(30) == 0
+    for pid in pids:
+        with pytest.raises(ProcessLookupError):
+            os.kill(pid, 0)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -14,7 +14,10 @@
     "routing": {"routing"},
     "transport": {"transport"},
     "protocol": {"protocol", "transport", "routing.types", "kserve"},
-    "program": {"program", "protocol", "transport", "routing"},
+    "program": {"program", "protocol", "transport", "routing", "client", "lab"},  # the last two when they run
+    "client": {"client", "kserve"},
+    "lab": {"lab", "client", "kserve"},
+    "kserve": {"kserve"},
 }
 INHERITED = {"interface", "rules", "wire"}
 
@@ -42,10 +45,11 @@
             assert inside or name in INHERITED, f"{path.name} imports {name}"
 
 
-def test_the_core_and_the_platform_path_know_no_grpc() -> None:
+def test_the_platform_path_loads_no_grpc_no_client_and_no_lab() -> None:
     code = (
         "import sys, sorreldock.program.serve, sorreldock.program.cli\n"
-        "assert not [m for m in sys.modules if m.split('.')[0] in ('h2', 'hpack', 'google', 'grpc')"
-        " or 'kserve' in m]"
+        "others = {'h2', 'hpack', 'google', 'grpc', 'anyio', 'hdrh', 'msgspec', 'numpy', 'matplotlib'}\n"
+        "assert not [m for m in sys.modules if m.split('.')[0] in others or 'kserve' in m"
+        " or m.startswith(('sorreldock.client', 'sorreldock.lab'))]"
     )
     assert subprocess.run([sys.executable, "-c", code], cwd=ROOT.parent, timeout=60).returncode == 0
