Leave calls that waited for a reconnection the time to be answered

A turn now takes four fifths of a call's time at most, and its window grows by a quarter with each dial that fails, whatever was drawn before.

--- a/sorreldock/client/policy/reconnect.py
+++ b/sorreldock/client/policy/reconnect.py
@@ -3,19 +3,22 @@
 A deploy ends the connections of every client within one second. Nobody tells the clients of each other, so
 each draws its own moment: after a loss (a connection that the router ended, or said it would end, between
 answers) the next dial waits for a *turn*, drawn with decorrelated jitter (AWS's `min(cap, uniform(base, 3 *
-previous))`), which widens with each dial that fails. A dial that fails without a loss before it (a router
-that was never there) costs a token of a small rate instead, and the call goes on to another router at once.
+previous))`), which widens with each dial that fails (a quarter each: no single draw may cost a call its
+deadline). A dial that fails without a loss before it (a router that was never there) costs a token of a
+small rate instead, and the call goes on to another router at once.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
+IN_TIME = 0.8  # of a request's time, which a turn may take: calls that share the connection need the rest
+
 
 @dataclass(frozen=True, slots=True)
 class ReconnectRules:
     base_s: float = 0.05  # the least delay of a turn
-    first_window_s: float = 4.4  # the first turn after a loss lies within this
+    first_window_s: float = 5.0  # the first turn after a loss lies within this
     widen: float = 1.25  # with each dial that fails
     cap_s: float = 20.0
     calm_rate_per_s: float = 64.0  # dials while nothing has been lost or has failed: refill, and the most
@@ -83,7 +86,8 @@
         if self._heard is not None and now - self._heard > rules.forget_s:
             self._previous, self.failures = rules.first_window_s / 3, 0
         self._heard = now
-        self._window = min(rules.cap_s, 3 * self._previous)
+        widest = rules.first_window_s * rules.widen ** min(self.failures, 40)
+        self._window = min(rules.cap_s, widest, 3 * self._previous)
         delay = rules.base_s + draw * max(self._window - rules.base_s, 0.0)
         # The window never narrows below the first: a small draw must not make the next ones small as well.
         self._previous = max(delay, rules.first_window_s / 3)
@@ -106,7 +110,9 @@
         self._failing = True
         if self.turn_at is None:
             return None
-        self._previous = min(self._previous * self.rules.widen, self.rules.cap_s / 3)
+        self._previous = max(
+            self._previous, self.rules.first_window_s * self.rules.widen ** min(self.failures, 40) / 3
+        )
         delay = self._draw(now, draw)
         self.turn_at, self.turn_of = now + delay, now
         return delay
@@ -128,7 +134,8 @@
         `dialling` counts the client's dials under way, and `alive` says that it holds a connection to this
         router which has not been told to end: a turn does not bind such a router. While a turn is awaited
         one dial alone goes, and a request whose deadline is nearer than the turn takes its place at the
-        same share of its own time, so that a crowd of short deadlines is spread as well.
+        same share of four fifths of its own time: a crowd of short deadlines is spread as well, and the
+        last still leave room for the answer.
         """
         if now > latest:
             return None
@@ -136,10 +143,10 @@
             if dialling:
                 return min(now + self.rules.base_s, latest)
             at = self.turn_at
-            if at > latest:
+            whole = max(latest - self.turn_of, 0.0)
+            if at > self.turn_of + IN_TIME * whole:
                 share = (at - self.turn_of) / max(self._window, 1e-9)
-                whole = max(latest - self.turn_of, 0.0)
-                at = self.turn_of + min(share, 0.95) * whole
+                at = self.turn_of + IN_TIME * min(share, 1.0) * whole
                 if self.failures:  # a deadline that nears is no reason to knock ever faster
                     at = max(at, self.turn_of + min(0.1 * 2**self.failures, 0.4))
                     if at > latest:
