Show on both protocols that a stopping router's calls go to the other one

A router that stops says so (Connection: close, the end of idle connections, GOAWAY); calls must go on over connections that are there. A story with two real routers, on asyncio and trio: after SIGTERM's effects at one, three calls each answer at the other within a second, with no dial and no failure.

--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -16,7 +16,20 @@
 import anyio
 import pytest
 import trio
-from client_peers import ASK, EVENTS, OK, Stub, answers, beside_host, field, hosted, on_both, refusal, router
+from client_peers import (
+    ASK,
+    EVENTS,
+    OK,
+    Host,
+    Stub,
+    answers,
+    beside_host,
+    field,
+    hosted,
+    on_both,
+    refusal,
+    router,
+)
 from grpc_peers import SharedEngine
 from grpc_peers import Stream as GrpcStream
 from peers import Call, serve_well
@@ -433,6 +446,28 @@
             assert stub.times[1] - stub.times[0] >= delay * 0.9 > 0.2
 
 
+@pytest.mark.parametrize("protocol", ["http", "kserve"])
+@on_both
+async def test_a_real_routers_goodbye_sends_calls_to_the_other_one(protocol: str) -> None:
+    engine, second = SharedEngine(), SharedEngine()
+    with hosted(router(engine)) as real, hosted(router(second)) as other:
+        async with Client([real.program.addresses[protocol]], protocol=protocol) as client:
+            await client.ask(ASK, 4.0)
+            client.update_routers([r.program.addresses[protocol] for r in (real, other)])
+            # Calls at once go to both, the least outstanding first: then both connections are there.
+            async with anyio.create_task_group() as group:
+                for _ in range(2):
+                    group.start_soon(client.ask, ASK, 4.0)
+            Host.token.run_sync_soon(real.program.lifecycle.stop_asked.set)
+            while not client.stats().connections_lost:
+                await anyio.sleep(0.01)
+            for _ in range(3):
+                with anyio.fail_after(1.0):
+                    whole = await client.ask(ASK, 4.0)
+                assert whole.router == other.program.addresses[protocol] and whole.attempts == 1
+            assert counts(client, "connections_opened", "dials_failed", "failed") == (2, 0, 0)
+
+
 @on_both
 async def test_nothing_is_sent_that_cannot_be_in_time() -> None:
     with hosted(Stub(answers(OK)).on()) as stub:
