--- a/sorreldock/client/client.py
+++ b/sorreldock/client/client.py
@@ -147,8 +147,7 @@
 
     async def _ask_for_rest(self, lost: Lost) -> bytes | None:
         call = self._call
-        way_s = 0.0
-        if not self._resume or self.resumed or not call.deadline.allows(anyio.current_time(), way_s):
+        if not self._resume or self.resumed or not call.deadline.allows(anyio.current_time()):
             raise self._broken(lost.cause)
         self.resumed = True
         make = self._request.rest or rest_of
--- a/sorreldock/client/sockets.py
+++ b/sorreldock/client/sockets.py
@@ -14,8 +14,7 @@
 
 
 class Lost(Exception):
-    """The connection ended. `unread`: the peer can't have read all that was sent; `reset`: it ended
-    rudely."""
+    """The connection ended. `unread`: the peer can't have read all that was sent."""
 
     def __init__(self, cause: str, unread: bool = False) -> None:
         super().__init__(cause)
