--- a/sorreldock/program/serve.py
+++ b/sorreldock/program/serve.py
@@ -126,13 +126,21 @@
             for front in self.fronts.values():
                 await front.drain()
             with trio.move_on_after(DRAIN_S):
-                await self.core.drained()
-            for front in self.fronts.values():
-                await front.closed(2.0)
+                await self._answer_all()
             self.lifecycle.enter(Phase.STOPPED)
             await self.syslog.flush(0.5)
             nursery.cancel_scope.cancel()
 
+    async def _answer_all(self) -> None:
+        """Wait until nothing is open and the last answers are written. Guards requests on their way:
+        one whose last bytes come while the connections close is taken, and answered like the others."""
+        while True:
+            await self.core.drained()
+            for front in self.fronts.values():
+                await front.closed(2.0)
+            if not self.core.open:
+                return
+
     def _open_fronts(self) -> None:
         operator = self.config.operator
         if operator.http:
--- a/sorreldock/protocol/engine.py
+++ b/sorreldock/protocol/engine.py
@@ -73,6 +73,7 @@
             except (ConnectionLost, ProtocolFault) as error:
                 # Its last byte was not written: it never ran, and the transport never sends it again.
                 return Report(Status.CONNECT_FAILED, note=str(error))
+            progress.sent()
             try:
                 report = await self.answer(exchange, progress)
             except NeverTaken as error:
--- a/sorreldock/protocol/kserve/client.py
+++ b/sorreldock/protocol/kserve/client.py
@@ -4,7 +4,7 @@
 
 import math
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 
 import h2.errors
 import h2.events
@@ -68,7 +68,10 @@
             raise ConnectionLost("closed by the engine")
         for event in events:
             self.take(event)
-        await self.line.wire.flush()
+        # What goes out here answers settings and gives room back. Guards an answer that came whole, or an
+        # event, right before the engine closed: the next read tells of the end, behind what has arrived.
+        with suppress(ConnectionLost):
+            await self.line.wire.flush()
 
     def take(self, event: h2.events.Event | Farewell) -> None:
         match event:
--- a/sorreldock/protocol/kserve/front.py
+++ b/sorreldock/protocol/kserve/front.py
@@ -5,6 +5,7 @@
 import math
 import re
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -411,7 +412,10 @@
                 assert event.stream_id is not None and event.headers is not None
                 if self.going and not self.front.accepting:
                     # Named by our GOAWAY as not taken: the client may send it elsewhere.
-                    self.wire.h2.reset_stream(event.stream_id, h2.errors.ErrorCodes.REFUSED_STREAM)
+                    # It may have been reset in the same read: then there is nothing to refuse, and the other
+                    # streams of the connection must not end for it.
+                    with suppress(h2.exceptions.StreamClosedError):
+                        self.wire.h2.reset_stream(event.stream_id, h2.errors.ErrorCodes.REFUSED_STREAM)
                     return
                 headers = [(str(k), str(v)) for k, v in event.headers]
                 self.idle_since = None
--- a/sorreldock/routing/core.py
+++ b/sorreldock/routing/core.py
@@ -10,6 +10,7 @@
 import trio
 
 from ..interface import (
+    Action,
     AttemptEnded,
     Cancel,
     ClientGone,
@@ -107,6 +108,8 @@
         self._epoch = wall() - trio.current_time()
         # Bounded by the open RPCs, whose number is, and by what subchannels and the resolver may have out.
         self._post, self._mailbox = trio.open_memory_channel[Event](math.inf)
+        # RPCs that nobody waits for any longer, and their attempts so far, until the module has heard of it.
+        self._gone: dict[str, int] = {}
         self._nursery: trio.Nursery | None = None
         self._idle = trio.Event()
 
@@ -155,6 +158,7 @@
 
     def _abandon(self, entry: OpenRPC) -> None:
         """Nobody waits any longer: tell the module, and stop what is still out."""
+        self._gone[entry.rpc.key] = len(entry.attempts)
         self._post.send_nowait(ClientGone(entry.rpc.key))
         for attempt in entry.attempts:
             if attempt is not None:
@@ -330,9 +334,17 @@
             for event in events:
                 if isinstance(event, RequestArrived | AttemptEnded) and event.request in self.open:
                     self._give_up(self.open[event.request], Final(Outcome.FAILED))
+                elif isinstance(event, ClientGone):
+                    self._gone.pop(event.request, None)
                 elif isinstance(event, ReplicaList) and len(events) > 1:
                     self._post.send_nowait(event)  # a list lost with its batch would be missed for good
             return
+        self._carry_out(actions)
+        for event in events:
+            if isinstance(event, ClientGone):
+                self._gone.pop(event.request, None)
+
+    def _carry_out(self, actions: list[Action]) -> None:
         for action in actions:
             match action:
                 case Send(request, replica, timeout_s):
@@ -363,6 +375,7 @@
     def _start(self, request: str, replica: int, timeout_s: float) -> None:
         entry = self.open.get(request)
         if entry is None or entry.answered:
+            self._too_late(request, replica)
             return
         number = len(entry.attempts)
         subchannel = self.subchannels.get(replica)
@@ -379,6 +392,14 @@
         entry.out += 1
         subchannel.post(Start(attempt))
 
+    def _too_late(self, request: str, replica: int) -> None:
+        """The module decided this attempt in the batch in which it heard that nobody waits. Guards its count
+        of what is out: without a word of the end, the replica would look busy for ever."""
+        number = self._gone.get(request)
+        if number is not None:
+            self._gone[request] = number + 1
+            self._post.send_nowait(AttemptEnded(request, number, replica, Status.NOT_SENT, 0.0, True))
+
     def _cancel(self, request: str, number: int) -> None:
         entry = self.open.get(request)
         attempt = entry.attempts[number] if entry is not None and number < len(entry.attempts) else None
--- a/sorreldock/routing/subchannel.py
+++ b/sorreldock/routing/subchannel.py
@@ -11,6 +11,10 @@
 from ..interface import Status
 from .types import RPC, EngineClient, Report, SinkClosed, Target
 
+# After the notice of an engine's end, for the last bytes of requests that were on their way: what is new to
+# the engine 250 ms after the notice breaks the rule.
+WRITTEN_S = 0.2
+
 
 class CallAttempt:
     """One attempt of an RPC at one engine."""
@@ -24,6 +28,7 @@
         self.made_at = trio.current_time()
         self.scope = trio.CancelScope(deadline=self.made_at + timeout_s)
         self.sending = False
+        self.written = False
         self.started = False
         self.first_s = 0.0
         self.given_up: Status | None = None  # why the router stopped it, if it did
@@ -34,6 +39,9 @@
         self.sending = self.subchannel.ready and self.given_up is None
         return self.sending
 
+    def sent(self) -> None:
+        self.written = True
+
     def wait_s(self) -> float:
         return max(self.scope.deadline - trio.current_time(), 0.0)
 
@@ -103,6 +111,13 @@
         self._send.close()
 
     async def run(self) -> None:
+        try:
+            await self._obey()
+        finally:  # told to end, or the program ends: nothing idle stays open
+            for client in self.clients.values():
+                client.discard()
+
+    async def _obey(self) -> None:
         async with trio.open_nursery() as attempts:
             async for order in self._mailbox:
                 match order:
@@ -116,11 +131,24 @@
                             for attempt in self._out:
                                 if not attempt.sending:
                                     attempt.give_up(Status.NOT_SENT)
+                            if self._unwritten():
+                                attempts.start_soon(self._stop_writing)
                         if restarted or not ready:
                             for client in self.clients.values():
                                 client.close_idle()
-        for client in self.clients.values():
-            client.discard()
+
+    def _unwritten(self) -> list[CallAttempt]:
+        return [attempt for attempt in self._out if not attempt.written]
+
+    async def _stop_writing(self) -> None:
+        """Guards the drain rule: a request whose bytes still go out has not run, and counts with its last
+        one. What is not written soon after the notice goes elsewhere."""
+        begun = self._unwritten()
+        await trio.sleep(WRITTEN_S)
+        if not self.ready:
+            for attempt in begun:
+                if attempt in self._out and not attempt.written:
+                    attempt.give_up(Status.NOT_SENT)
 
     async def _attempt(self, attempt: CallAttempt) -> None:
         report = None
@@ -138,7 +166,10 @@
         finally:
             self._out.pop(attempt, None)
         if report is None:
-            report = Report(attempt.given_up or Status.TIMEOUT)
+            status = attempt.given_up or Status.TIMEOUT
+            if status is Status.NOT_SENT and attempt.written:  # its last byte went out in the same moment
+                status = Status.CANCELLED
+            report = Report(status)
         self._on_ended(attempt, report, trio.current_time() - attempt.made_at)
 
     async def _probe(self) -> None:
--- a/sorreldock/routing/types.py
+++ b/sorreldock/routing/types.py
@@ -113,6 +113,9 @@
     def may_send(self) -> bool:
         """Asked right before the first byte is written."""
 
+    def sent(self) -> None:
+        """Told once the last byte is written: from now on the request may run."""
+
     def wait_s(self) -> float:
         """For how long the router will wait for the first event."""
 
