--- a/sorreldock/lab/settings.py
+++ b/sorreldock/lab/settings.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 
@@ -14,6 +14,9 @@
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=64, pattern=r"^[!-~]+$")]
 
 
+S = TypeVar("S", bound=msgspec.Struct)
+
+
 class LabError(ValueError):
     """A file or a command of the lab can't be used; the message is one plain line."""
 
@@ -96,8 +99,13 @@
 
 def load(path: Path) -> FleetSettings:
     """The checked settings; LabError says in a line what is wrong, and where."""
+    return load_as(path, FleetSettings)
+
+
+def load_as(path: Path, kind: type[S]) -> S:
+    """A checked TOML file, as a struct of this kind; LabError as with `load`."""
     try:
-        return msgspec.toml.decode(path.read_bytes(), type=FleetSettings)
+        return msgspec.toml.decode(path.read_bytes(), type=kind)
     except OSError as error:
         raise LabError(f"{path}: {error.strerror}") from None
     except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
--- /dev/null
+++ b/sorreldock/lab/world/__init__.py
@@ -0,0 +1,2 @@
+"""A world of its own for the router: virtual time, an in-memory network, faults scripted from seeds, and the
+rules as oracles that see the wires. docs/world.md tells why it is built so."""
--- /dev/null
+++ b/sorreldock/lab/world/library.py
@@ -0,0 +1,130 @@
+"""The client library on the world's sockets."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import trio
+
+from ...client import Client, ClientError, ClientSettings, Request
+from ...client.sockets import DialFailed, Lost, Socket
+from .clients import GRPC_PORT, HTTP_PORT, body_of
+from .network import Host, VirtualSocket
+from .scenario import RequestPlan
+
+if TYPE_CHECKING:
+    from .play import World
+
+
+class VirtualClientSocket(Socket):
+    """The library's socket, on one of the world's."""
+
+    def __init__(self, sock: VirtualSocket) -> None:
+        self._virtual = sock
+        self.closed = False
+        self.sent_whole = True
+
+    async def send(self, data: bytes) -> None:
+        self.sent_whole = False
+        try:
+            await self._virtual.send_all(data)
+        except trio.ClosedResourceError:
+            raise Lost("closed here") from None
+        except OSError as error:
+            raise Lost(str(error.strerror).lower(), unread=True) from None
+        self.sent_whole = True
+
+    async def receive(self) -> bytes:
+        try:
+            return await self._virtual.recv()
+        except trio.ClosedResourceError:
+            raise Lost("closed here") from None
+        except OSError as error:
+            raise Lost(str(error.strerror).lower(), unread=True) from None
+
+    def unread_by_peer(self) -> bool:
+        pipe = self._virtual.outbox
+        return not self.sent_whole or pipe is None or pipe.broken or pipe.reader_gone
+
+    def spoken(self) -> bool:
+        return self._virtual.closed or self._virtual.is_readable()
+
+    def close(self) -> None:
+        self.closed = True
+        self._virtual.close()
+
+    def forget(self) -> None:
+        self.closed = True
+
+
+class Library:
+    """One client of all routers for each protocol, made when a request asks for it."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self._host: Host | None = None
+        self._clients: dict[str, Client] = {}
+        self._nursery: trio.Nursery | None = None
+        self._closing = trio.Event()
+        self._closed: list[trio.Event] = []
+
+    def open(self, nursery: trio.Nursery) -> None:
+        self._nursery = nursery
+
+    async def _dial(self, address: str, silence_s: float) -> Socket:
+        assert self._host is not None
+        host, _, port = address.rpartition(":")
+        sock = self._host.socket()
+        try:
+            await sock.connect((host, int(port)))
+        except OSError as error:
+            sock.close()
+            raise DialFailed(str(error)) from None
+        except BaseException:
+            sock.close()
+            raise
+        return VirtualClientSocket(sock)
+
+    async def _client(self, protocol: str) -> Client:
+        made = self._clients.get(protocol)
+        if made is not None:
+            return made
+        if self._host is None:
+            self._host = self.world.network.host("c90", "127.0.4.91")
+        port = HTTP_PORT if protocol == "http" else GRPC_PORT
+        routers = [f"{router.host.address}:{port}" for router in self.world.routers]
+        seed = f"{self.world.scenario.seed} library {protocol}"
+        made = self._clients[protocol] = Client(
+            routers, ClientSettings(name="world"), protocol, rng=random.Random(seed), dial=self._dial
+        )
+        closed = trio.Event()
+        self._closed.append(closed)
+        assert self._nursery is not None
+        await self._nursery.start(self._hold, made, closed)
+        return made
+
+    async def _hold(self, client: Client, closed: trio.Event, task_status: trio.TaskStatus[None]) -> None:
+        try:
+            async with client:
+                task_status.started()
+                await self._closing.wait()
+        finally:
+            closed.set()
+
+    async def ask(self, plan: RequestPlan) -> None:
+        client = await self._client(plan.protocol)
+        request = Request(
+            plan.rpc_class, body_of(plan), "acme", "", plan.prefix, plan.prompt_tokens, 0, plan.output_tokens
+        )
+        try:
+            async with client.stream(request, timeout_s=plan.deadline_s) as answer:
+                async for _ in answer:
+                    pass
+        except ClientError as error:
+            self.world.record(f"library {type(error).__name__} {error.cause}")
+
+    async def close(self) -> None:
+        self._closing.set()
+        for closed in self._closed:
+            await closed.wait()
--- a/sorreldock/program/cli.py
+++ b/sorreldock/program/cli.py
@@ -11,6 +11,7 @@
 from .. import __version__
 from . import extras, hangup
 from .config import Config, ConfigError, load
+from .worlds import add_to as add_worlds
 
 app = typer.Typer(
     add_completion=False, no_args_is_help=True, help="A request router for fleets of language-model servers."
@@ -61,6 +62,7 @@
 
 app.command()(extras.ask)
 app.command()(extras.demo)
+add_worlds(extras.lab)
 app.add_typer(extras.lab, name="lab")
 
 
