Let both benchmarks share the server that answers them

The router's cost had a copy of the server that the client's had; both now take it from benchmarks/answers.py.

--- a/benchmarks/client_cost.py
+++ b/benchmarks/client_cost.py
@@ -9,31 +9,23 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 import multiprocessing
 import socket
 import time
-from multiprocessing.connection import Connection
 from pathlib import Path
 from sys import path
 from typing import Annotated, Any
 
 import anyio
 import typer
+from answers import BODY, serve
 
 path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from sorreldock.client import Client, Request
 from sorreldock.client.stats import LONGEST_US, summary
 
-EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"abcdefgh"},"finish_reason":null}]}\n\n'
-ANSWER = (
-    b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
-    + 9 * (b"%x\r\n%s\r\n" % (len(EVENT), EVENT))
-    + b"0\r\n\r\n"
-)
-BODY = json.dumps({"model": "alt-text", "messages": [{"role": "user", "content": "x" * 400}]}).encode()
 REQUEST = Request("alt-text", BODY, "state-news", "s1", "p1", 900, 600, 80)
 BARE = (
     b"POST /v1/chat/completions HTTP/1.1\r\nHost: bench\r\nX-Trace-Id: 0123456789abcdef\r\n"
@@ -43,29 +35,6 @@
 )
 
 
-class Answers(asyncio.Protocol):
-    """Every request ends with the body's last bytes; nothing else is looked at."""
-
-    def connection_made(self, transport: Any) -> None:
-        self.transport = transport
-        self.held = b""
-
-    def data_received(self, data: bytes) -> None:
-        self.held += data
-        if self.held.endswith(BODY[-20:]):
-            self.held = b""
-            self.transport.write(ANSWER)
-
-
-def serve(told: Connection) -> None:
-    async def main() -> None:
-        server = await asyncio.get_running_loop().create_server(Answers, "127.0.0.1", 0)
-        told.send(server.sockets[0].getsockname()[1])
-        await server.serve_forever()
-
-    asyncio.run(main())
-
-
 def histogram() -> Any:
     from hdrh.histogram import HdrHistogram
 
--- a/benchmarks/router_cost.py
+++ b/benchmarks/router_cost.py
@@ -24,16 +24,10 @@
 from typing import Annotated, Any
 
 import typer
+from answers import BODY, serve
 
 HERE = Path(__file__).resolve().parent.parent
 CONNECTIONS = 16
-EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"abcdefgh"},"finish_reason":null}]}\n\n'
-ANSWER = (
-    b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
-    + 9 * (b"%x\r\n%s\r\n" % (len(EVENT), EVENT))
-    + b"0\r\n\r\n"
-)
-BODY = json.dumps({"model": "alt-text", "messages": [{"role": "user", "content": "x" * 400}]}).encode()
 SETTINGS = {
     "areas": ["a"], "zone": "a", "me": 0, "balancers": 1, "discovery": "push", "tick_s": 0.001,
     "categories": [{"name": "alt-text", "aim_s": 3.0, "deadline_s": 10.0, "stream": True}],
@@ -43,26 +37,6 @@
 }  # fmt: skip
 
 
-class Engine(asyncio.Protocol):
-    def connection_made(self, transport: Any) -> None:
-        self.transport, self.held = transport, b""
-
-    def data_received(self, data: bytes) -> None:
-        self.held += data
-        if self.held.endswith(BODY[-20:]):
-            self.held = b""
-            self.transport.write(ANSWER)
-
-
-def engine(pipe: Any) -> None:
-    async def run() -> None:
-        server = await asyncio.get_running_loop().create_server(Engine, "127.0.0.1", 0)
-        pipe.send(server.sockets[0].getsockname()[1])
-        await server.serve_forever()
-
-    asyncio.run(run())
-
-
 def cpu_s(pid: int) -> float:
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / float(os.sysconf("SC_CLK_TCK"))
@@ -158,7 +132,7 @@
     trees = {"other": against.resolve()} if against is not None else {}
     trees["this"] = HERE
     ours, theirs = multiprocessing.Pipe()
-    server = multiprocessing.Process(target=engine, args=(theirs,), daemon=True)
+    server = multiprocessing.Process(target=serve, args=(theirs,), daemon=True)
     server.start()
     figures = asyncio.run(measure(trees, calls, rounds, ours.recv()))
     server.terminate()
