--- a/sorreldock/rules.py
+++ b/sorreldock/rules.py
@@ -27,7 +27,6 @@
     ListKind,
     Metric,
     OutElsewhere,
-    PeerMessage,
     Probe,
     ProbeEnded,
     Refuse,
@@ -167,7 +166,6 @@
         self.heat: dict[str, float] = {}
         self.seen = 0.0
         self.quantile = {c.name: c.aim_s / 2 for c in settings.classes}
-        self.spare = 1.0  # second copies that may still be sent
         self.probe_credit = 1.0
         self.mean_report = [0.0] * len(settings.metrics)
         self.zone_load = dict.fromkeys(settings.zones, 1.0)
@@ -206,8 +204,6 @@
                     self.on_out_elsewhere(counts)
                 case Learned(snapshot):
                     self.on_learned(snapshot)
-                case PeerMessage():
-                    pass
         return self.out
 
     # Placement: the draw, its rejections, and what remains when it yields nothing.
@@ -443,7 +439,6 @@
             return
         request = Request(event, cls, self.homes(event))
         self.requests[event.request] = request
-        self.spare = min(self.spare + 0.1, 3.0)
         self.survey()
         if self.settings.limits.probes:
             patience = min(0.1 * cls.aim_s, 0.5 * (event.expires_at - self.now))
@@ -659,9 +654,6 @@
         flagged = sum(r.failed_until > self.now for r in self.zone)
         if 2 * flagged < len(self.zone):  # when all slow together, none is to blame
             self.failed(replica)
-            if limits.parallel_attempts and safe and self.spare >= 1.0:
-                self.spare -= 1.0
-                self.place(request)
 
     # Discovery.
 
