Bound what doubles in the module: pauses after lost lists, flags after failures

Both counts stop at 8, past the longest pauses (0.4 of must_ask_in_s, 16 s), so that no decision changes before.

--- a/sorreldock/rules.py
+++ b/sorreldock/rules.py
@@ -56,6 +56,7 @@
 MOST_ATTEMPTS = 2  # a third try feeds the storm that failed two: clients retry as well
 FIRST_FLAG_S = 2.0  # a first failure may be chance: the pause is short, and doubles with each repeat
 LONGEST_FLAG_S = 16.0
+MOST_DOUBLED = 8  # times; past the longest pauses, and a float holds no power of some thousand
 # A replica that shares its steps among too many streams may report no queue: what shows it is the number of
 # own attempts that are out. Beyond this multiple of its fair share of them it is crowded.
 CROWDED = 1.25
@@ -346,7 +347,7 @@
 
     def failed(self, replica: Replica) -> None:
         pause = min(FIRST_FLAG_S * 2**replica.strikes, LONGEST_FLAG_S)
-        replica.strikes += 1
+        replica.strikes = min(replica.strikes + 1, MOST_DOUBLED)
         replica.failed_until = self.now + pause * self.random.uniform(0.75, 1.25)
 
     def aim(self, request: Request) -> float:
@@ -660,7 +661,7 @@
     def on_list(self, event: ReplicaList) -> None:
         if event.kind is ListKind.LOST:
             self.subscribed = self.asked = False
-            self.lost += 1
+            self.lost = min(self.lost + 1, MOST_DOUBLED)
             self.ask_later(min(0.05 * 2**self.lost, 0.4))
             return
         if event.kind is ListKind.CACHED:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -459,6 +459,16 @@
     assert (gw.replicas[sent.replica].failed_until > now) is not reports
 
 
+def test_what_doubles_has_an_end() -> None:
+    """After 41 minutes without a list, or some thousand failures, the power no longer fitted a float."""
+    gw = gateway([entry(1)])
+    for _ in range(3000):
+        [timer] = gw.handle(START, [ReplicaList(ListKind.LOST)])
+        assert isinstance(timer, SetTimer) and timer.delay_s <= 0.4 * GUARANTEES.list_max_age_s
+        gw.failed(gw.replicas[1])
+    assert gw.replicas[1].failed_until <= START + 20.0
+
+
 def test_a_process_that_follows_knows_what_the_first_one_learned_and_counts_what_it_has_out() -> None:
     first, second, other = gateway(), gateway(seed=2), gateway(zones=("a", "c"))
     [send] = sends(first.handle(START, [call("a")]))
