Read indented lists, and watch without being asked where lists are pushed

Cause: the watch was read a line an object, so a list that comes indented over several lines ended it with 'a line of the watch is not JSON', each time anew; the router stayed with its old known for good. And where the settings say that lists are pushed, nobody asked for a watch: the module asks only under discovery = ask, and its pause after a loss is a share of must_ask_in_s, which is endless there. Change: ListReader follows an object to the line on which its last bracket closes; an empty line within one, a sign of life, ends the watch. Where lists are pushed the resolver watches from the start on, opens a lost watch anew after 0.02 to 1 s, and a new process waits up to 1 s for the agent's list before it serves. The largest list is a share of the memory, 1 MiB before.

--- a/sorreldock/program/serve.py
+++ b/sorreldock/program/serve.py
@@ -30,6 +30,7 @@
     from .console import Console
     from .takeover import Takeover
 
+LISTED_S = 1.0  # where lists are pushed, a new process waits so long for the first one before it serves
 LINGER_S = 0.5  # for so long after SIGTERM clients still come, and are still taken
 TRIM_S = 5.0
 # Guards the memory limit. The program itself takes about this much; of the rest two fifths may be payloads,
@@ -40,6 +41,7 @@
 OPEN_PER_MB, LEAST_OPEN, MOST_OPEN = 4, 64, 512
 # An engine holds some hundreds of connections, of all routers together: so many are kept idle there.
 ENGINE_HOLDS, LEAST_IDLE = 240, 4
+LIST_PART = 32  # of the memory, for a list on its way
 DRAIN_S = 60.0  # then what still streams is cut off: a reader that trickles must not keep the program
 
 
@@ -48,6 +50,11 @@
     return int(min(max(share, LEAST_PAYLOAD_MB), MOST_PAYLOAD_MB) * 1024 * 1024)
 
 
+def largest_list(memory_mb: int) -> int:
+    """Of its bytes, an entry takes some hundreds; indented, decoded and as subchannels it takes more."""
+    return max(memory_mb // LIST_PART, 1) * 1024 * 1024
+
+
 def most_open(memory_mb: int) -> int:
     return min(max(memory_mb * OPEN_PER_MB, LEAST_OPEN), MOST_OPEN)
 
@@ -98,8 +105,9 @@
     async def run(self) -> None:
         config = self.config
         self.resolver = Resolver(
-            config.discovery, config.known.version, self._resolved, self.log, self._dial
-        )
+            config.discovery, config.known.version, self._resolved, self.log, self._dial,
+            not config.settings.must_ask_for_list, largest_list(config.memory_mb),
+        )  # fmt: skip
         probed_with = "http" if "http" in config.operator.engine_protocols else "kserve"
         self.core = Core(
             config.settings,
@@ -127,6 +135,10 @@
             nursery.start_soon(self._signals)
             if config.inherited_fd is not None:
                 await self._follow(config.inherited_fd)
+            if not config.settings.must_ask_for_list:
+                # Guards the drain rule: what the agent has counts as told from the first moment on.
+                with trio.move_on_after(LISTED_S):
+                    await self.resolver.listed.wait()
             for front in self.fronts.values():
                 nursery.start_soon(front.tell_shed)
             for protocol, listener in self.listeners.items():
--- a/sorreldock/protocol/http/discovery.py
+++ b/sorreldock/protocol/http/discovery.py
@@ -5,7 +5,8 @@
 import contextlib
 import json
 import math
-from collections.abc import Callable
+import re
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import h11
@@ -25,7 +26,11 @@
 # An empty line comes every 2 s. Guards against a discovery that is cut off and says nothing: without this
 # limit the list would grow old unnoticed, and the platform takes a router for told after `must_ask_in_s`.
 STALL_S = 4.5
-LARGEST_LINE = 1024 * 1024
+LARGEST_LIST = 4 * 1024 * 1024  # unless its reader is told otherwise
+# Where lists are pushed an agent of this router's own has them: nobody else crowds there, so that a lost
+# watch is opened anew at once, and while none comes up at most a second later.
+FIRST_PAUSE_S, LONGEST_PAUSE_S = 0.02, 1.0
+STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 
 
 class ListError(ValueError):
@@ -79,9 +84,61 @@
     }  # fmt: skip
 
 
+class ListReader:
+    """The objects of a watch, from its bytes. One stands on a line as a rule; an indented one goes on over
+    many, to the line on which its last bracket closes."""
+
+    def __init__(self, largest: int = LARGEST_LIST) -> None:
+        self._largest = largest
+        self._rest = b""
+        self._begun: list[bytes] = []  # the lines of an object that has not ended
+        self._size = self._depth = 0
+
+    def feed(self, data: bytes) -> Iterator[Any]:
+        *lines, self._rest = (self._rest + data).split(b"\n")
+        for line in lines:
+            if self._depth == 0 and (line := line.strip()):
+                try:
+                    yield json.loads(line)
+                    continue
+                except (ValueError, RecursionError):  # the latter from brackets nested without end
+                    self._begin(line)
+            elif self._depth:
+                self._take(line)
+                if self._depth == 0:
+                    yield self._end()
+        if self._size + len(self._rest) > self._largest:
+            raise ListError("the list is too long")
+
+    def _begin(self, line: bytes) -> None:
+        self._take(line)
+        if self._depth <= 0:
+            raise ListError("a line of the watch is not JSON")
+
+    def _take(self, line: bytes) -> None:
+        # Guards against an object that was cut off: the sign of life that follows is an empty line, which no
+        # object has within, and without this its reader would wait for the end for ever.
+        if not line.strip():
+            raise ListError("an object of the watch breaks off")
+        self._begun.append(line)
+        self._size += len(line) + 1
+        bare = STRING.sub(b"", line)
+        self._depth += sum(map(bare.count, (b"{", b"["))) - sum(map(bare.count, (b"}", b"]")))
+        if self._depth < 0:
+            raise ListError("a line of the watch is not JSON")
+
+    def _end(self) -> Any:
+        text, self._begun, self._size = b"\n".join(self._begun), [], 0
+        try:
+            return json.loads(text)
+        except (ValueError, RecursionError):
+            raise ListError("an object of the watch is not JSON") from None
+
+
 class Resolver:
     """Watches when the module asks for it. When a watch ends it says so; the module asks again, after a
-    jittered pause that doubles with each loss and stays within `must_ask_in_s`."""
+    jittered pause that doubles with each loss and stays within `must_ask_in_s`. Where lists are pushed nobody
+    has to ask: it watches from the start on, and a watch that ends is opened anew here."""
 
     def __init__(
         self,
@@ -90,14 +147,20 @@
         on_result: Callable[[ResolverResult], None],
         log: Log,
         dial: Dial = dial,
+        pushed: bool = False,
+        largest: int = LARGEST_LIST,
     ) -> None:
         self._address = address
         self._version = version
+        self._pushed = pushed
+        self._largest = largest
+        self.listed = trio.Event()  # once discovery has told anything
         self._on_result = on_result
         self._log = log
         self._dial = dial
         self._send, self._mailbox = trio.open_memory_channel[None](1)
         self._watching: trio.CancelScope | None = None
+        self._pause = FIRST_PAUSE_S
 
     @property
     def version(self) -> int:
@@ -122,15 +185,21 @@
             self.subscribe()
 
     async def run(self) -> None:
+        if self._pushed:
+            self.subscribe()
         async for _ in self._mailbox:
+            self._pause = FIRST_PAUSE_S
             while True:
                 with trio.CancelScope() as self._watching:
                     reason = await self._attempt()
+                    self._log("notice", "WATCH", "the watch on the list is lost", reason=reason)
+                    if self._pushed:
+                        await trio.sleep(self._pause)
+                        self._pause = min(2.0 * self._pause, LONGEST_PAUSE_S)
                 moved = self._watching.cancelled_caught
                 self._watching = None
-                if not moved:
+                if not (moved or self._pushed):
                     break
-            self._log("notice", "WATCH", "the watch on the list is lost", reason=reason)
             self._on_result(ResolverResult(ListKind.LOST))
 
     async def _attempt(self) -> str:
@@ -158,7 +227,7 @@
             headers=[("host", self._address)],
         )
         await connection.send((parser.send(request) or b"") + (parser.send(h11.EndOfMessage()) or b""))
-        rest, limit = b"", FIRST_S
+        reader, limit = ListReader(self._largest), FIRST_S
         while True:
             event = parser.next_event()
             if event is h11.NEED_DATA:
@@ -172,22 +241,15 @@
                     raise ConnectionLost(f"HTTP {event.status_code}")
             elif isinstance(event, h11.Data):
                 limit = STALL_S
-                *lines, rest = (rest + bytes(event.data)).split(b"\n")
-                if len(rest) > LARGEST_LINE:
-                    raise ListError("the list is too long")
-                for line in lines:
-                    if line.strip():
-                        self._take(line)
+                for raw in reader.feed(bytes(event.data)):
+                    self._take(raw)
             elif isinstance(event, h11.InformationalResponse):
                 continue
             else:
                 return
 
-    def _take(self, line: bytes) -> None:
-        try:
-            raw = json.loads(line)
-        except (ValueError, RecursionError):  # the latter from brackets nested without end
-            raise ListError("a line of the watch is not JSON") from None
+    def _take(self, raw: Any) -> None:
         result = decode_result(raw)
-        self._version = result.version
+        self._version, self._pause = result.version, FIRST_PAUSE_S
         self._on_result(result)
+        self.listed.set()
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -193,12 +193,14 @@
         self.changed = trio.Event()
         self.watching = trio.Event()
         self.nonsense: list[bytes] = []  # lines that come first, one a watch
+        self.others: list[str] = []  # addresses of engines that are only listed
+        self.indent: int | None = None
 
     def targets(self) -> list[dict[str, Any]]:
         return [
-            {"uid": f"e{i}", "endpoint": e.address, "az": "ipswich", "model": "m", "pod_group": 0,
+            {"uid": f"e{i}", "endpoint": e, "az": "ipswich", "model": "m", "pod_group": 0,
              "state": self.states.get(f"e{i}", "Ready"), "capacity_hint": 1.0, "boot_ms": 0}
-            for i, e in enumerate(self.engines)
+            for i, e in enumerate([e.address for e in self.engines] + self.others)
         ]  # fmt: skip
 
     def listing(self) -> dict[str, Any]:
@@ -224,7 +226,8 @@
             return
         while True:
             changed = self.changed
-            await wire.send(h11.Data(data=json.dumps(self.listing()).encode() + b"\n"))
+            listed = json.dumps(self.listing(), indent=self.indent)
+            await wire.send(h11.Data(data=listed.encode() + b"\n"))
             self.watching.set()
             await changed.wait()
 
@@ -313,12 +316,12 @@
 
 @asynccontextmanager
 async def among(
-    *engines: Peer, discovery: Discovery | None = None, operator: Operator | None = None,
+    *engines: Peer, discovery: Discovery | None = None, operator: Operator | None = None, lists: str = "ask",
     console: str = "", sockets: int = 1024, **settings: Any,
 ) -> AsyncIterator[Router]:
     """The program among these engines, ready to serve; it must end by itself once it is told to stop."""
     discovery = discovery or Discovery(*engines)
-    raw = {**SETTINGS, **{k: v for k, v in settings.items() if k != "limits"}}
+    raw = {**SETTINGS, "discovery": lists, **{k: v for k, v in settings.items() if k != "limits"}}
     raw["policy_limits"] = {**SETTINGS["policy_limits"], **settings.get("limits", {})}
     async with trio.open_nursery() as peers:
         for peer in (*engines, discovery):
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -265,6 +265,32 @@
         assert (await router.post()).whole
 
 
+@story
+@pytest.mark.parametrize("how", ["ask", "push"])
+async def test_an_indented_list_of_1024_engines_is_taken_over_whole_by_one_of_1024_routers(how: str) -> None:
+    engine = Engine()
+    discovery = Discovery(engine)
+    discovery.indent = 4
+    discovery.nonsense = [b'{"rev": 2,\n "targets": [{\n', b"{\n}]"]  # cut off; closed twice
+    contract = {**SETTINGS["contract"], "must_ask_in_s": 0.2}
+    if how == "push":
+        del contract["must_ask_in_s"]
+    async with among(
+        engine, discovery=discovery, lists=how, balancers=1024, me=1023, contract=contract
+    ) as router:
+        await discovery.watching.wait()
+        assert discovery.watches == 3
+        discovery.others = [f"127.0.0.1:{1 + n}" for n in range(1023)]
+        discovery.tell(e7="Gone")
+        while len(router.program.core.subchannels) < 1023:
+            await trio.sleep(0.01)
+        discovery.others = []
+        discovery.tell()
+        while len(router.program.core.subchannels) > 1:
+            await trio.sleep(0.01)
+        assert (await router.post()).whole
+
+
 @story
 async def test_what_is_wrong_with_a_request_is_said() -> None:
     async with among(Engine()) as router:
