Refuse nobody by an estimate, and try every warm engine before refusing

Cause: a process just started multiplies an engine's reported queue by what a unit of it has meant in seconds. One timeout at a hanging engine with an empty queue made that 3.7 s, so that every engine seemed over-used and later than what is useful (1.28 s for title-suggest); a router that refuses hears no first tokens, and refuses on. rules.py, choose (useful) and on_attempt_ended (learn_scale on a timeout). Change: what is over-used is served by the engine expected first; timeouts teach no scale; where all drawn engines are cold, flagged or full, all warm ones are tried before a refusal (with nine in ten cold, 8 draws found none). Both halves of the new test fail without it.

--- a/sorreldock/rules.py
+++ b/sorreldock/rules.py
@@ -318,7 +318,7 @@
                     if crowding < fewest:
                         least, fewest = replica, crowding
                     continue
-                usable = self.warmth(replica) >= 1.0 and replica.failed_until <= self.now
+                usable = self.usable(replica)
                 if usable and self.refusals(replica) < 0.5:  # a full one would only turn it away again
                     if spare is None or self.expected(replica) < self.expected(spare):
                         spare = replica
@@ -326,15 +326,19 @@
                     full = True
             if least is not None:  # crowded is not over-used: nothing crosses for it
                 return least
-        if spare is not None:  # all are over-used: serve where it can still be in time, else refuse early
-            aim, cls = self.aim(request), request.cls
-            useful = 0.6 * aim + cls.late_worth * max(request.event.expires_at - self.now - aim, 0.0)
-            return spare if request.attempts or self.expected(spare) < useful else None
-        for _, replica in self.candidates(request, [] if full else self.zone or self.abroad):
-            if self.warmth(replica) >= 1.0 and replica not in tried and self.permitted(request, replica):
-                return replica
+        if spare is not None:  # all are over-used; an estimate alone refuses nobody
+            return spare
+        if not full:
+            for failed in (False, True):  # beyond the draws: whoever is left, and at last those with a flag
+                for bucket in self.buckets(request):
+                    left = [r for r in bucket if r not in tried and self.usable(r, failed)]
+                    if left := [r for r in left if self.permitted(request, r)]:
+                        return self.straw(left, request.prefix_key, 0)
         return None
 
+    def usable(self, replica: Replica, failed: bool = False) -> bool:
+        return self.warmth(replica) >= 1.0 and (failed or replica.failed_until <= self.now)
+
     # Warm-up.
 
     def warmth(self, replica: Replica) -> float:
@@ -600,8 +604,6 @@
         replica.busy -= 1
         if event.status is Status.OK:
             replica.strikes = max(replica.strikes - 1, 0)
-        if event.status is Status.TIMEOUT and not attempt.started:
-            self.learn_scale(attempt, event.latency_s)
         if event.status in (Status.ERROR, Status.CONNECT_FAILED, Status.RESET, Status.TIMEOUT):
             self.failed(replica)
         elif event.status is Status.FULL:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -258,6 +258,20 @@
     assert len(sends(actions)) + len(finals(actions)) == 400
 
 
+def test_nothing_is_refused_while_one_is_warm_whatever_a_first_answer_has_taught() -> None:
+    cold = [entry(k, "ab"[k % 2], started_at=START) for k in range(1, 100)]
+    gw = gateway([*cold, entry(100, "b")])
+    assert all(sends(gw.handle(START, [call(f"r{k}")])) for k in range(100))
+    gw = gateway(metrics=(Metric.QUEUE_LENGTH,), limits=Limits(max_attempts=3))
+    gw.handle(START, [ProbeEnded(k, Status.OK, 0.01, (0.0,)) for k in range(1, 5)])
+    [first] = sends(gw.handle(START, [call("slow")]))
+    late = START + SAFE.deadline_s
+    gw.handle(late, [AttemptEnded("slow", 0, first.replica, Status.TIMEOUT, SAFE.deadline_s, False)])
+    for k in range(20):  # one that hung says nothing of what a queue costs elsewhere
+        gw.handle(late, [ProbeEnded(n, Status.OK, 0.01, (0.0,)) for n in range(1, 5)])
+        assert sends(gw.handle(late, [call(f"r{k}", now=late)]))
+
+
 def test_a_fresh_start_resets_what_was_believed() -> None:
     gw = gateway()
     gw.failed(gw.replicas[1])
