Size backlog and open requests by the limits, and take idle connections in turn

Cause: bounds that were constants. The backlog was 512 and open requests were 512 at most whatever the limits say; and with all descriptors in use the first engine's pool lost every idle connection to the others, which with a thousand engines means a handshake for each of its requests. Change: the backlog is the limit on descriptors, open requests are 4 a MB of memory without a cap, and the pools give their idle connections in turn. The test goes round 1,024 pools twice; it fails on the code before.

--- a/sorreldock/program/serve.py
+++ b/sorreldock/program/serve.py
@@ -38,7 +38,7 @@
 PROGRAM_MB = 36
 PAYLOAD_SHARE = 0.4
 LEAST_PAYLOAD_MB, MOST_PAYLOAD_MB = 2, 40
-OPEN_PER_MB, LEAST_OPEN, MOST_OPEN = 4, 64, 512
+OPEN_PER_MB, LEAST_OPEN = 4, 64
 # An engine holds some hundreds of connections, of all routers together: so many are kept idle there.
 ENGINE_HOLDS, LEAST_IDLE = 240, 4
 LIST_PART = 32  # of the memory, for a list on its way
@@ -56,7 +56,7 @@
 
 
 def most_open(memory_mb: int) -> int:
-    return min(max(memory_mb * OPEN_PER_MB, LEAST_OPEN), MOST_OPEN)
+    return max(memory_mb * OPEN_PER_MB, LEAST_OPEN)
 
 
 class Program:
--- a/sorreldock/transport/budget.py
+++ b/sorreldock/transport/budget.py
@@ -30,11 +30,11 @@
     def set_aside(self, count: int) -> None:
         """For somebody who does not ask here, and has them whatever clients hold."""
         self._set_aside = count
-        self.resize(self._limit)
+        self.resize(self.limit)
 
     def resize(self, limit: int) -> None:
         """What is in use beyond a smaller limit stays so until it is given back."""
-        self._limit = limit
+        self.limit = limit
         usable = self.usable_with(0)
         if self._portion is not None:
             usable = min(usable, self._portion)
@@ -42,8 +42,8 @@
 
     def usable_with(self, others: int) -> int:
         """What this process and so many others have for sockets in all; each has the same set aside."""
-        kept = min(self.RESERVED, self._limit // 6) + self._set_aside
-        return self._limit - (1 + others) * kept
+        kept = min(self.RESERVED, self.limit // 6) + self._set_aside
+        return self.limit - (1 + others) * kept
 
     def share(self, portion: int | None, leaving: bool = False) -> None:
         """Use no more than this, since another process of this router holds the rest; None: there is none.
@@ -53,7 +53,7 @@
             self.most = {Use.CLIENT: clients, Use.ENGINE: max(portion - clients, 0)}
         elif portion != self._portion:
             self._portion = portion
-            self.resize(self._limit)
+            self.resize(self.limit)
 
     def let_go(self) -> None:
         """Close what is idle beyond a smaller portion, for the other process."""
@@ -67,11 +67,20 @@
 
     def take(self, use: Use) -> bool:
         """Claim one; when all are in use, somebody's idle connection is closed for it if there is one."""
-        if self.used[use] >= self.most[use] and not any(evict() for evict in self.evictors[use]):
+        if self.used[use] >= self.most[use] and not self._evict(use):
             return False
         self.used[use] += 1
         return True
 
+    def _evict(self, use: Use) -> bool:
+        """In turn, lest the first of a thousand engines loses every connection to the others."""
+        evictors = self.evictors[use]
+        for place, evict in enumerate(evictors):
+            if evict():
+                evictors.append(evictors.pop(place))
+                return True
+        return False
+
     def give_back(self, use: Use) -> None:
         self.used[use] -= 1
         self._waiting.unpark_all()
--- a/sorreldock/transport/listener.py
+++ b/sorreldock/transport/listener.py
@@ -11,8 +11,6 @@
 from .connection import Connection, split_address
 from .system import MACHINE, System
 
-BACKLOG = 512
-
 
 class Listener:
     def __init__(
@@ -39,7 +37,7 @@
         except OSError:
             self._sock.close()
             raise
-        self._sock.listen(BACKLOG)
+        self._sock.listen(self._budget.limit)  # all that may come at once; the system bounds it
         return self._name()
 
     def _name(self) -> str:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -211,8 +211,10 @@
         budget.give_back(Use.ENGINE)
         return True
 
-    budget.evictors[Use.ENGINE].append(evict)
-    assert budget.take(Use.ENGINE) and budget.used[Use.ENGINE] == 42
+    robbed: list[int] = []
+    budget.evictors[Use.ENGINE] += [lambda n=n: robbed.append(n) or evict() for n in range(1024)]  # type: ignore
+    assert all(budget.take(Use.ENGINE) for _ in range(2048)) and budget.used[Use.ENGINE] == 42
+    assert robbed == [*range(1024), *range(1024)]
     budget.share(20)  # another process of this router has the rest
     budget.let_go()
     assert budget.used[Use.ENGINE] == 10
@@ -222,7 +224,7 @@
 
 def test_the_budgets_follow_the_limits() -> None:
     assert [payload_bytes(mb) >> 20 for mb in (32, 64, 96, 192)] == [2, 11, 24, 40]
-    assert [most_open(mb) for mb in (16, 32, 96, 192)] == [64, 128, 384, 512]
+    assert [most_open(mb) for mb in (16, 32, 96, 192)] == [64, 128, 384, 768]
     for limit in (100, 256, 1024):  # a third of them is for requests alone; some are the program's own
         most = Descriptors(limit).most
         assert limit / 3 < most[Use.CLIENT] and sum(most.values()) <= limit - 16
