--- a/sorreldock/wire.py
+++ b/sorreldock/wire.py
@@ -366,7 +366,10 @@
     classes = tuple(_class(c, aims_us, i) for i, c in enumerate(top.objects("categories")))
     if not classes:
         raise SettingsError("setting categories is empty")
-    zones, zone = top.names("areas"), top.text("zone")
+    zones = top.names("areas", default=True)
+    # A deployment may have no zones: all engines and gateways are then in one, which may lack a name.
+    zone = top.text("zone") if zones or top.raw.get("zone") else ""
+    zones = zones or (zone,)
     if zone not in zones:
         raise SettingsError(f"setting zone is not among the areas: {zone!r}")
     must_ask = top.word("discovery", DISCOVERY)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -74,6 +74,15 @@
     assert s.guarantees.warm_up_s == 23.0 and s.limits.resume_streams
 
 
+@pytest.mark.parametrize("areas", [[], None])
+def test_a_deployment_may_have_no_zones(areas: object) -> None:
+    for zone in ("", None):
+        s = wire.decode_settings(with_change("areas", areas) | {"zone": zone})
+        assert (s.zones, s.zone) == (("",), "")
+    with pytest.raises(SettingsError, match="zone"):
+        wire.decode_settings(with_change("areas", areas) | {"zone": 7})
+
+
 @pytest.mark.parametrize(
     ("path", "value", "named"),
     [
