In a large fleet, look at the other zones while late, and let every probe tell

Cause: rules.py, survey and steer_zone. A zone's load is learned from surveys alone, which are made for 6 / balancers of the requests: with 200 routers one in 50 s, so that the others' load stays at its first value for the router's life, and the zone's own is measured against a mean that nobody renews. At one gateway alone, 120 requests over 60 s, both zones as late: of the last 60 requests 12 cross with 4 gateways, 8 to 51 with 200; with the own zone alone late, 53 and 22 to 60. Change: where gateways are more than six every probe counts for its zone's load, and while over a tenth of its own first tokens are late (the bound from which zones cross at all) a router surveys with each request. With 200 gateways as with four: 12 and 53. Ruled out as the cause of the zones' loads, each measured and not landed: homes by evidence, crowds counted from more or fewer own attempts, a zone's crowd counted for all its gateways, more homes, rests of streams kept at home.

--- a/sorreldock/rules.py
+++ b/sorreldock/rules.py
@@ -471,6 +471,8 @@
     def survey(self) -> None:
         """Sample the load of the whole fleet, now and then, where probes are allowed and cheap enough."""
         price, part = self.settings.prices.probe, MANY / self.settings.gateways
+        if self.lateness > 0.1:  # then its zone may be worse off than others, of which few surveys tell
+            part = 1.0
         if self.settings.limits.probes and self.everywhere:
             self.probe_credit = min(self.probe_credit + min(3.0, 0.005 / max(price, 1e-6)), 6.0)
             other = self.random.choice(self.everywhere)
@@ -483,7 +485,7 @@
             if self.probe_credit < 1.0:
                 return False
             self.probe_credit -= 1.0
-            replica.probed_at, replica.fair = self.now, fair
+            replica.probed_at, replica.fair = self.now, fair or self.settings.gateways > MANY
             self.out.append(Probe(replica.entry.replica))
         return True
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -258,6 +258,30 @@
     assert len(sends(actions)) + len(finals(actions)) == 400
 
 
+@pytest.mark.parametrize("gateways", [4, 200])
+@pytest.mark.parametrize(("worse", "least", "most"), [("a", 50, 60), ("ab", 0, 20)])
+def test_a_late_zone_gives_keys_to_a_better_one_and_not_to_one_as_late(
+    worse: str, least: int, most: int, gateways: int
+) -> None:
+    both = [*fleet(10), *(entry(k, "b") for k in range(11, 21))]
+    probing = Limits(max_attempts=3, probes=True)
+    gw = gateway(both, gateways=gateways, metrics=(Metric.QUEUE_LENGTH,), limits=probing)
+    late = {e.replica for e in both if e.zone in worse}
+    crossed, now = 0, START
+    for k in range(120):
+        now += 0.5
+        actions = gw.handle(now, [call(f"r{k}", now=now)])
+        while probes := [a.replica for a in actions if isinstance(a, Probe)]:
+            told = [ProbeEnded(n, Status.OK, 0.01, (2.0 * (n in late),)) for n in probes]
+            actions = [a for a in actions if not isinstance(a, Probe)] + gw.handle(now, told)
+        for send in sends(actions):
+            first = 0.9 if send.replica in late else 0.1
+            begun = FirstToken(f"r{k}", 0, send.replica, first)
+            gw.handle(now + first, [begun, ended(f"r{k}", send, 0, Status.OK, final=True)])
+            crossed += k >= 60 and send.replica > 10
+    assert least <= crossed <= most
+
+
 def test_nothing_is_refused_while_one_is_warm_whatever_a_first_answer_has_taught() -> None:
     cold = [entry(k, "ab"[k % 2], started_at=START) for k in range(1, 100)]
     gw = gateway([*cold, entry(100, "b")])
