Keep the list's watch by one clock: a change is here within 6 s whatever call failed

The platform counts 6 s.

Change: protocol/http/freshness.py owns the limits of each step and the pause behind each loss, from what the lost call may have cost; an object that trickles counts as silence. The resolver opens watches by itself, at the module's word if that is sooner. Pauses stay spread: 200 routers, 8 s without discovery, in the test.

Result: tests/test_freshness.py, 500 draws for each of five troubles and three settings, all under 6 s.

--- a/sorreldock/program/serve.py
+++ b/sorreldock/program/serve.py
@@ -107,6 +107,7 @@
         self.resolver = Resolver(
             config.discovery, config.known.version, self._resolved, self.log, self._dial,
             not config.settings.must_ask_for_list, largest_list(config.memory_mb),
+            config.settings.guarantees.list_max_age_s, config.seed,
         )  # fmt: skip
         probed_with = "http" if "http" in config.operator.engine_protocols else "kserve"
         self.core = Core(
--- a/sorreldock/protocol/http/discovery.py
+++ b/sorreldock/protocol/http/discovery.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import math
+import random
 import re
 from collections.abc import Callable, Iterator
 from typing import Any
@@ -15,21 +16,14 @@
 from ...interface import ListKind, ReplicaState
 from ...routing.types import Log, ResolverResult, Target
 from ...transport.connection import Connection, ConnectionLost, Dial, DialFailed, dial
+from .freshness import DIAL_S, Freshness
 
 STATES = {
     "Ready": ReplicaState.READY,
     "Terminating": ReplicaState.DRAINING,
     "Gone": ReplicaState.GONE,
 }
-DIAL_S = 1.0
-FIRST_S = 3.0  # discovery answers in turn and gives up on a call after 2 s
-# An empty line comes every 2 s. Guards against a discovery that is cut off and says nothing: without this
-# limit the list would grow old unnoticed, and the platform takes a router for told after `must_ask_in_s`.
-STALL_S = 4.5
 LARGEST_LIST = 4 * 1024 * 1024  # unless its reader is told otherwise
-# Where lists are pushed an agent of this router's own has them: nobody else crowds there, so that a lost
-# watch is opened anew at once, and while none comes up at most a second later.
-FIRST_PAUSE_S, LONGEST_PAUSE_S = 0.02, 1.0
 STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 
 
@@ -93,19 +87,26 @@
         self._rest = b""
         self._begun: list[bytes] = []  # the lines of an object that has not ended
         self._size = self._depth = 0
+        self.signs = 0  # whole objects and empty lines so far
 
     def feed(self, data: bytes) -> Iterator[Any]:
         *lines, self._rest = (self._rest + data).split(b"\n")
         for line in lines:
-            if self._depth == 0 and (line := line.strip()):
+            if self._depth == 0:
+                if not (line := line.strip()):
+                    self.signs += 1
+                    continue
                 try:
-                    yield json.loads(line)
+                    raw = json.loads(line)
+                    self.signs += 1
+                    yield raw
                     continue
                 except (ValueError, RecursionError):  # the latter from brackets nested without end
                     self._begin(line)
-            elif self._depth:
+            else:
                 self._take(line)
                 if self._depth == 0:
+                    self.signs += 1
                     yield self._end()
         if self._size + len(self._rest) > self._largest:
             raise ListError("the list is too long")
@@ -136,9 +137,8 @@
 
 
 class Resolver:
-    """Watches when the module asks for it. When a watch ends it says so; the module asks again, after a
-    jittered pause that doubles with each loss and stays within `must_ask_in_s`. Where lists are pushed nobody
-    has to ask: it watches from the start on, and a watch that ends is opened anew here."""
+    """Watches, from soon after the start on, and opens a watch that ended anew by itself: after the pauses of
+    `Freshness`, or when the module asks if that is sooner."""
 
     def __init__(
         self,
@@ -149,18 +149,21 @@
         dial: Dial = dial,
         pushed: bool = False,
         largest: int = LARGEST_LIST,
+        must_ask_in_s: float = 10.0,
+        seed: int = 0,
     ) -> None:
         self._address = address
         self._version = version
         self._pushed = pushed
         self._largest = largest
+        self._freshness = Freshness(pushed, must_ask_in_s)
+        self._draw = random.Random(seed).random
         self.listed = trio.Event()  # once discovery has told anything
         self._on_result = on_result
         self._log = log
         self._dial = dial
         self._send, self._mailbox = trio.open_memory_channel[None](1)
         self._watching: trio.CancelScope | None = None
-        self._pause = FIRST_PAUSE_S
 
     @property
     def version(self) -> int:
@@ -172,35 +175,34 @@
 
     def subscribe(self) -> None:
         """Ask for a watch; asking while one is on is of no effect."""
-        with contextlib.suppress(trio.WouldBlock):
-            self._send.send_nowait(None)
+        if self._watching is None:
+            with contextlib.suppress(trio.WouldBlock):
+                self._send.send_nowait(None)
 
     def move(self, address: str) -> None:
         """Watch another discovery from now on. The versions of one mean nothing to another, so it is asked
         for the whole list; until it answers, what is known holds."""
         self._address, self._version = address, 0
+        self._freshness.moved(trio.current_time())
         if self._watching is not None:
             self._watching.cancel()
         else:  # between two watches: the new one need not wait for the pause after the loss
             self.subscribe()
 
     async def run(self) -> None:
-        if self._pushed:
-            self.subscribe()
-        async for _ in self._mailbox:
-            self._pause = FIRST_PAUSE_S
-            while True:
-                with trio.CancelScope() as self._watching:
-                    reason = await self._attempt()
-                    self._log("notice", "WATCH", "the watch on the list is lost", reason=reason)
-                    if self._pushed:
-                        await trio.sleep(self._pause)
-                        self._pause = min(2.0 * self._pause, LONGEST_PAUSE_S)
-                moved = self._watching.cancelled_caught
-                self._watching = None
-                if not (moved or self._pushed):
-                    break
-            self._on_result(ResolverResult(ListKind.LOST))
+        pause = self._freshness.first(trio.current_time(), self._draw())
+        while True:
+            with trio.move_on_after(pause):
+                await self._mailbox.receive()
+            with trio.CancelScope() as self._watching:
+                reason = await self._attempt()
+            moved, self._watching = self._watching.cancelled_caught, None
+            pause = 0.0
+            if not moved:
+                pause = self._freshness.lost(trio.current_time(), self._draw())
+                self._log("notice", "WATCH", "the watch on the list is lost", reason=reason, pause_s=pause)
+                if not self._pushed:  # there the module has nothing to ask for
+                    self._on_result(ResolverResult(ListKind.LOST))
 
     async def _attempt(self) -> str:
         """One watch, to its end; tells why it ended."""
@@ -213,7 +215,9 @@
             return f"fault: {error!r}"
 
     async def _watch(self) -> None:
+        self._freshness.began(trio.current_time())
         connection = await self._dial(self._address, DIAL_S, lambda: None)
+        self._freshness.met(trio.current_time())
         try:
             await self._read(connection)
         finally:
@@ -227,11 +231,13 @@
             headers=[("host", self._address)],
         )
         await connection.send((parser.send(request) or b"") + (parser.send(h11.EndOfMessage()) or b""))
-        reader, limit = ListReader(self._largest), FIRST_S
+        reader, signs = ListReader(self._largest), 0
         while True:
             event = parser.next_event()
             if event is h11.NEED_DATA:
-                with trio.move_on_after(limit) as stall:
+                # Guards against a discovery that is cut off and says nothing, or that trickles: without the
+                # limit the list would grow old unnoticed.
+                with trio.move_on_at(self._freshness.deadline) as stall:
                     data = await connection.receive()
                 if stall.cancelled_caught:
                     raise ConnectionLost("stalled")
@@ -239,10 +245,13 @@
             elif isinstance(event, h11.Response):
                 if event.status_code != 200:
                     raise ConnectionLost(f"HTTP {event.status_code}")
+                self._freshness.opened(trio.current_time())
             elif isinstance(event, h11.Data):
-                limit = STALL_S
                 for raw in reader.feed(bytes(event.data)):
                     self._take(raw)
+                if reader.signs > signs:
+                    signs = reader.signs
+                    self._freshness.sign(trio.current_time())
             elif isinstance(event, h11.InformationalResponse):
                 continue
             else:
@@ -250,6 +259,6 @@
 
     def _take(self, raw: Any) -> None:
         result = decode_result(raw)
-        self._version, self._pause = result.version, FIRST_PAUSE_S
+        self._version = result.version
         self._on_result(result)
         self.listed.set()
--- /dev/null
+++ b/sorreldock/protocol/http/freshness.py
@@ -0,0 +1,74 @@
+"""The clock of the watch on the list: how long each step may take, and the pauses; without I/O or randomness.
+
+The platform takes a router for told of a change so long after discovery had it and could be reached,
+whatever call failed. So what one failed call may have cost, the pause behind it and the answer of the next
+call have to add up to less; while discovery is down nothing is owed, and a fleet's calls are spread.
+"""
+
+from __future__ import annotations
+
+import math
+
+TOLD_S = 6.0
+SIGN_S = 2.7  # a watch says something every 2 s
+ANSWER_S = 2.0  # discovery answers in turn and gives up on a call after so long
+FIRST_S = 3.1  # some give up a little later
+DIAL_S = 1.0
+SLACK_S = 0.4  # for the way, for the list's decoding and for the module's next batch
+# A pause takes this part of what is left beside one answer: the next call may wait in a crowd and in vain.
+PAUSE_SHARE = 1 / 3
+SHORTEST_PAUSE_S = 0.1
+MOST_DOUBLED = 8
+# Where lists are pushed an agent of this router's own has them: nobody else crowds there.
+FIRST_PUSHED_S, LONGEST_PUSHED_S = 0.02, 1.0
+
+
+class Freshness:
+    """Of one router's list. `lost` tells the pause; the other calls say what has come of a watch."""
+
+    def __init__(self, pushed: bool, must_ask_in_s: float) -> None:
+        self._pushed = pushed
+        # A deployment that wants to be asked more often has shorter pauses.
+        self._first = FIRST_PUSHED_S if pushed else 0.1 * must_ask_in_s
+        self._longest = LONGEST_PUSHED_S if pushed else 0.4 * must_ask_in_s
+        self._pauses = 0
+        self._began = self._since = 0.0  # a change from `since` on may not be known here
+        self._met = False
+        self.deadline = math.inf  # when what is awaited now has to have come
+
+    def began(self, now: float) -> None:
+        self._began, self._met, self.deadline = now, False, now + DIAL_S
+
+    def met(self, now: float) -> None:
+        """The connection has come up; the answer comes in turn."""
+        self._met, self.deadline = True, now + FIRST_S
+
+    def opened(self, now: float) -> None:
+        """The answer has begun. Its first object has to be whole in time, like each sign after it."""
+        self.deadline = now + SIGN_S
+
+    def sign(self, now: float) -> None:
+        """A whole object, or the empty line that says that nothing has changed."""
+        self._since, self._pauses, self.deadline = now, 0, now + SIGN_S
+
+    def moved(self, now: float) -> None:
+        """Another discovery from now on, and the platform takes its list for told two seconds sooner."""
+        self._since, self._pauses = now - 2.0, 0
+
+    def first(self, now: float, draw: float) -> float:
+        """The pause of a new process with an old list; many may start together."""
+        self._since = now
+        return 0.0 if self._pushed else self._within(now, self._longest, draw)
+
+    def lost(self, now: float, draw: float) -> float:
+        """The pause before the next call; `draw` is from 0 to 1."""
+        if not self._met or (self._since < self._began and now - self._began < 0.5 * ANSWER_S):
+            self._since = self._began  # not within reach until then: a crowded discovery fails calls late
+        pause = min(self._first * 2.0**self._pauses, self._longest)
+        self._pauses = min(self._pauses + 1, MOST_DOUBLED)
+        return self._within(now, pause, draw)
+
+    def _within(self, now: float, pause: float, draw: float) -> float:
+        left = TOLD_S - SLACK_S - ANSWER_S - (now - self._since)
+        pause = min(pause, max(PAUSE_SHARE * left, SHORTEST_PAUSE_S))
+        return pause if self._pushed else pause * (0.2 + 0.8 * draw)
--- /dev/null
+++ b/tests/test_freshness.py
@@ -0,0 +1,161 @@
+"""The clock of the watch: whatever call failed, a change is here in time; and a fleet's calls are spread."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from contextlib import suppress
+
+import pytest
+import trio
+
+from sorreldock.lab.world.network import Network, VirtualSocket, Weather
+from sorreldock.lab.world.seam import seeded, world_clock
+from sorreldock.lab.world.system import VirtualSystem
+from sorreldock.protocol.http import freshness
+from sorreldock.protocol.http.discovery import Resolver
+from sorreldock.protocol.http.freshness import Freshness
+from sorreldock.routing.types import ResolverResult
+from sorreldock.transport.connection import dialler
+
+TOLD_S = 6.0  # as the platform says
+IN_TURN_S = 2.0  # for which a call may wait until discovery gives up on it
+
+# What becomes of a call that begins before the change can be had: whether it connects, and how long until it
+# fails; None: never by itself.
+TROUBLES: dict[str, tuple[bool, Callable[[random.Random], float | None]]] = {
+    "refused": (False, lambda rng: 0.0),
+    "no connection": (False, lambda rng: None),
+    "silent": (True, lambda rng: None),
+    "turned away at once": (True, lambda rng: 0.01),
+    "turned away late": (True, lambda rng: IN_TURN_S),
+}
+
+
+def told_after(trouble: str, must_ask_in_s: float, rng: random.Random, crowded: bool) -> float:
+    """Seconds from the moment from which a change could be had to the one in which it is here, by a clock
+    that is moved by hand; with `crowded`, one call waits in vain even then."""
+    clock, now, at = Freshness(False, must_ask_in_s), 0.0, rng.uniform(5.0, 15.0)
+    met, lasts = TROUBLES[trouble]
+    now += clock.first(now, rng.random())
+    while True:
+        clock.began(now)
+        if now >= at and not crowded:
+            clock.met(now)
+            now += rng.uniform(0.0, IN_TURN_S)
+            assert now <= clock.deadline
+            return now - at
+        if now >= at:
+            crowded, reached, ends = False, True, now + IN_TURN_S
+        else:
+            reached, last = met, lasts(rng)
+            ends = None if last is None else now + last
+        if reached:
+            clock.met(now)
+        now = clock.deadline if ends is None else min(ends, clock.deadline)
+        now += clock.lost(now, rng.random())
+
+
+@pytest.mark.parametrize("must_ask_in_s", [2.0, 10.0, 3600.0])
+@pytest.mark.parametrize("trouble", TROUBLES)
+def test_a_change_is_here_in_time_whatever_call_has_failed(trouble: str, must_ask_in_s: float) -> None:
+    # Behind a call that has used up a whole turn, two more whole turns are the six seconds.
+    crowds = {False, trouble not in ("silent", "turned away late")}
+    for seed in range(500):
+        for crowd in crowds:
+            assert told_after(trouble, must_ask_in_s, random.Random(seed), crowd) < TOLD_S, (seed, crowd)
+
+
+@pytest.mark.parametrize("pushed", [False, True])
+def test_what_a_silent_watch_has_missed_is_here_in_time(pushed: bool) -> None:
+    for seed in range(200):
+        rng = random.Random(seed)
+        clock = Freshness(pushed, 10.0)
+        clock.first(0.0, rng.random())
+        clock.began(0.0)
+        clock.met(0.0)
+        clock.opened(0.5)
+        for at in range(1, 9):
+            assert clock.deadline > 2.0 * at  # a sign of life comes every 2 s
+            clock.sign(2.0 * at)
+        at = clock.deadline
+        assert at + clock.lost(at, rng.random()) + IN_TURN_S < 16.0 + TOLD_S
+
+
+def test_while_discovery_is_down_a_fleet_neither_hammers_nor_returns_in_step() -> None:
+    calls: list[float] = []
+    for router in range(200):
+        rng, clock = random.Random(router), Freshness(False, 10.0)
+        clock.first(0.0, rng.random())
+        clock.began(0.0)
+        clock.met(0.0)
+        clock.sign(1.0)
+        now = 1.0
+        while (now := now + clock.lost(now, rng.random())) < 9.0:  # down for 8 s, and refuses
+            clock.began(now)
+            calls.append(now)
+    later = [sum(at <= call < at + 0.1 for call in calls) for at in (5.0, 6.0, 7.0, 8.0)]
+    assert len(calls) < 200 * 20 and max(later) < 50
+
+
+def test_a_move_leaves_less_time() -> None:
+    clock = Freshness(False, 10.0)
+    clock.first(0.0, 0.0)
+    clock.sign(50.0)
+    clock.moved(51.0)
+    clock.began(51.0)
+    at = clock.deadline  # the other discovery can't be reached at first
+    assert at + clock.lost(at, 1.0) + IN_TURN_S < 51.0 + 4.0
+
+
+def test_the_resolver_keeps_to_the_clock() -> None:
+    """Discovery refuses, then takes calls and says nothing, then a list trickles; at last it answers."""
+    heard: list[tuple[float, ResolverResult]] = []
+    line = b'{"rev":1,"all":true,"targets":[]}\n'
+    head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+
+    def chunk(data: bytes) -> bytes:
+        return b"%x\r\n%b\r\n" % (len(data), data)
+
+    async def story(network: Network) -> None:
+        here, there = network.host("r0", "127.0.0.1"), network.host("d", "127.0.0.2")
+        resolver = Resolver(
+            "127.0.0.2:80", 0, lambda result: heard.append((trio.current_time(), result)),
+            lambda *args, **fields: None, dialler(VirtualSystem(here, 1)), seed=3,
+        )  # fmt: skip
+
+        async def attend(sock: VirtualSocket) -> None:
+            await sock.recv()
+            if trio.current_time() < 12.0:
+                await trio.sleep_forever()
+            await sock.send_all(head)
+            trickles = trio.current_time() < 18.0
+            with suppress(ConnectionResetError):  # once the router has left
+                for at in range(0, len(line), 4 if trickles else len(line)):
+                    await sock.send_all(chunk(line[at : at + (4 if trickles else len(line))]))
+                    await trio.sleep(1.0 if trickles else 2.0)
+                while True:
+                    await sock.send_all(chunk(b"\n"))
+                    await trio.sleep(2.0)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(resolver.run)
+            await trio.sleep(6.0)
+            listener = there.socket()
+            await listener.bind(("127.0.0.2", 80))
+            listener.listen(5)
+            with trio.move_on_at(40.0):
+                while True:
+                    nursery.start_soon(attend, (await listener.accept())[0])
+            nursery.cancel_scope.cancel()
+
+    with seeded(1):
+        network = Network(random.Random(1), Weather(), lambda line: None)
+        trio.run(story, network, clock=world_clock(network.next_at, network.advance))
+    lists = [at for at, result in heard if result.version]
+    assert len(lists) == 1 and 18.0 < lists[0] < 18.0 + TOLD_S  # and that watch is kept to the end
+
+
+def test_the_steps_of_a_call_leave_room_for_the_next_one() -> None:
+    for longest in (freshness.FIRST_S, freshness.SIGN_S, freshness.DIAL_S):
+        assert longest + freshness.SHORTEST_PAUSE_S + freshness.ANSWER_S + freshness.SLACK_S <= TOLD_S
