Notice clients that leave behind what they sent ahead, right before each attempt

Cause: the watch on a client's connection read into a ring of 16 KiB and slept for ever once it was full, so an end behind more than that was not seen, and further attempts began for nobody (front.py, watch; connection.py, fill). An attempt whose engine was just dialled did not look at its client again (subchannel.py, may_send). A command that waited behind another's answer got its whole time anew, counted from its turn.

Change: what comes ahead goes to the parser, counted by the payload budget and bounded by the largest body; may_send looks at the client without waiting (Connection.ended); waiting commands' clocks run from their arrival.

--- a/sorreldock/lab/world/network.py
+++ b/sorreldock/lab/world/network.py
@@ -357,25 +357,32 @@
 
     async def recv_into(self, buffer: Any) -> int:
         await self._pass()
+        while True:
+            try:
+                return self.read_now(buffer)
+            except BlockingIOError:
+                assert self.inbox is not None
+                await self.inbox.readers.park()
+
+    def read_now(self, buffer: Any) -> int:
         inbox = self.inbox
         if inbox is None:
             raise OSError(errno.ENOTCONN, "not connected")
-        while True:
-            if self.closed:
-                raise trio.ClosedResourceError
-            if inbox.buffer:
-                count = self.network.piece(min(len(buffer), len(inbox.buffer)))
-                buffer[:count] = inbox.buffer[:count]
-                del inbox.buffer[:count]
-                inbox.took(count)
-                return count
-            if inbox.reset or inbox.fin:
-                if inbox.on_read_end is not None:
-                    inbox.on_read_end()
-                if inbox.reset:
-                    raise ConnectionResetError(errno.ECONNRESET, "connection reset by peer")
-                return 0
-            await inbox.readers.park()
+        if self.closed:
+            raise trio.ClosedResourceError
+        if inbox.buffer:
+            count = self.network.piece(min(len(buffer), len(inbox.buffer)))
+            buffer[:count] = inbox.buffer[:count]
+            del inbox.buffer[:count]
+            inbox.took(count)
+            return count
+        if inbox.reset or inbox.fin:
+            if inbox.on_read_end is not None:
+                inbox.on_read_end()
+            if inbox.reset:
+                raise ConnectionResetError(errno.ECONNRESET, "connection reset by peer")
+            return 0
+        raise BlockingIOError(errno.EAGAIN, "nothing has come")
 
     async def recv(self, most: int = 65536) -> bytes:
         buffer = bytearray(most)
--- a/sorreldock/protocol/http/front.py
+++ b/sorreldock/protocol/http/front.py
@@ -15,6 +15,7 @@
 from .fields import SERVED_PATH, BadRequest, HttpPayload, rpc_from, single
 
 LARGEST_HEAD = 16 * 1024
+LEAST_WAIT_S = 0.001  # of who has given up already: the module ends it
 IDLE_S = 5.0  # between requests; the platform allows 2 s, and clients come again over a new connection
 CLOSE = (b"connection", b"close")
 STREAM_HEAD = [(b"content-type", b"text/event-stream"), (b"cache-control", b"no-cache")]
@@ -41,7 +42,8 @@
         self.connected_at = trio.current_time()
         self.stage, self.since = Stage.SILENT, self.connected_at
         self.spoken = False
-        self.held_bytes = 0
+        self.held_bytes = self.ahead_bytes = 0
+        self.came_at = self.connected_at  # the last bytes, be they of a request that waits for its turn
         self.final: Final | None = None
         self.finished = trio.Event()
         self.head_sent = False
@@ -83,6 +85,9 @@
         self.final = final
         self.finished.set()
 
+    def left(self) -> bool:
+        return self.connection.ended()
+
     # The wire's side.
 
     def encode(self, event: h11.Event) -> bytes:
@@ -102,6 +107,11 @@
         self.front.payloads.give_back(self.held_bytes)
         self.held_bytes = 0
 
+    def release_ahead(self) -> None:
+        """What was sent ahead is parsed, or nobody's any longer."""
+        self.front.payloads.give_back(self.ahead_bytes)
+        self.ahead_bytes = 0
+
     async def run(self) -> None:
         try:
             while True:
@@ -123,6 +133,8 @@
                     return
         except (ConnectionLost, h11.LocalProtocolError):
             pass  # the client has gone in the middle of an answer
+        finally:
+            self.release_ahead()
 
     def begun(self) -> bool:
         """Whether a part of the next request has been read."""
@@ -138,6 +150,7 @@
         """The next head; None at the connection's end."""
         head_by = self.connected_at + limits.HEAD_S
         if not self.begun():
+            self.release_ahead()
             patience = limits.LATE_S if self.front.closing else IDLE_S if self.spoken else limits.HEAD_S
             with trio.move_on_after(patience) as self.waiting:
                 self.reach(Stage.IDLE if self.spoken else Stage.SILENT)
@@ -173,7 +186,7 @@
                 if self.parser.they_are_waiting_for_100_continue:
                     await self.write(self.encode(h11.InformationalResponse(status_code=100, headers=[])))
                 data = await self.connection.receive()
-                self.since = trio.current_time()
+                self.since = self.came_at = trio.current_time()
                 self.parser.receive_data(data)
             elif isinstance(event, h11.ConnectionClosed):
                 return None
@@ -233,6 +246,8 @@
             raise Answered(400, str(error), (CLOSE,)) from None
         assert isinstance(rpc.payload, HttpPayload)
         rpc.payload = replace(rpc.payload, body=await self.body(headers.get(b"content-length", b"0")))
+        # One that waited behind another's answer: its client's clock ran meanwhile.
+        rpc.expires_in_s = max(rpc.expires_in_s - (trio.current_time() - self.came_at), LEAST_WAIT_S)
         try:
             core.submit(rpc)
         except Overloaded:
@@ -249,10 +264,16 @@
         await self.conclude()
 
     async def watch(self, rpc: RPC) -> None:
-        """Notice that the client has gone. What it sends ahead stays in the ring."""
+        """Notice that the client has gone. What it sends ahead is for the parser; its end comes behind."""
         try:
-            while await self.connection.fill():
-                pass
+            while data := await self.connection.receive():
+                self.came_at = trio.current_time()
+                self.parser.receive_data(data)
+                # Guards memory: past the bound the kernel keeps what comes, and an end behind it waits.
+                full = self.ahead_bytes + len(data) > limits.LARGEST_BODY
+                if full or not self.front.payloads.take(len(data)):
+                    await trio.sleep_forever()
+                self.ahead_bytes += len(data)
         except ConnectionLost:
             pass
         self.front.core.client_gone(rpc)
--- a/sorreldock/protocol/kserve/front.py
+++ b/sorreldock/protocol/kserve/front.py
@@ -122,6 +122,9 @@
         self.final = final
         self.finished.set()
 
+    def left(self) -> bool:
+        return self.reset  # its connection is read all the time, whatever a stream waits for
+
     # The wire's side.
 
     def notify(self) -> None:
--- a/sorreldock/routing/core.py
+++ b/sorreldock/routing/core.py
@@ -159,6 +159,12 @@
         self._finish(entry, Final(Outcome.GONE))
         self._abandon(entry)
 
+    def _wanted(self, rpc: RPC) -> bool:
+        if rpc.sink.left():
+            self.client_gone(rpc)
+            return False
+        return True
+
     def _abandon(self, entry: OpenRPC) -> None:
         """Nobody waits any longer: tell the module, and stop what is still out."""
         self._gone[entry.rpc.key] = len(entry.attempts)
@@ -408,7 +414,9 @@
             return
         left = entry.rpc.expires_at - trio.current_time()
         wait = min(timeout_s, left) if timeout_s > 0 else left
-        attempt = CallAttempt(entry.rpc, number, subchannel, wait, self._attempt_began)
+        attempt = CallAttempt(
+            entry.rpc, number, subchannel, wait, self._attempt_began, self._wanted
+        )
         entry.attempts.append(attempt)
         entry.out += 1
         subchannel.post(Start(attempt))
--- a/sorreldock/routing/subchannel.py
+++ b/sorreldock/routing/subchannel.py
@@ -20,8 +20,9 @@
     """One attempt of an RPC at one engine."""
 
     def __init__(
-        self, rpc: RPC, number: int, subchannel: Subchannel, timeout_s: float, on_first: FirstCallback
-    ) -> None:
+        self, rpc: RPC, number: int, subchannel: Subchannel, timeout_s: float, on_first: FirstCallback,
+        wanted: Wanted,
+    ) -> None:  # fmt: skip
         self.rpc = rpc
         self.number = number
         self.subchannel = subchannel
@@ -33,10 +34,14 @@
         self.first_s = 0.0
         self.given_up: Status | None = None  # why the router stopped it, if it did
         self._on_first = on_first
+        self._wanted = wanted
 
     def may_send(self) -> bool:
+        # Guards against an attempt for nobody: a client may have left while its engine was dialled, or in the
+        # moment before, and the task that waits for its end has not run yet.
+        wanted = self.given_up is None and self._wanted(self.rpc)
         # Guards the drain rule: an attempt that was dialling when its engine began to drain is not sent.
-        self.sending = self.subchannel.ready and self.given_up is None
+        self.sending = self.subchannel.ready and wanted
         return self.sending
 
     def sent(self) -> None:
@@ -61,6 +66,7 @@
 
 
 FirstCallback = Callable[[CallAttempt], None]
+Wanted = Callable[[RPC], bool]  # whether its client is still there
 
 
 @dataclass(frozen=True, slots=True)
--- a/sorreldock/routing/types.py
+++ b/sorreldock/routing/types.py
@@ -50,6 +50,9 @@
 
     def finish(self, final: Final) -> None: ...
 
+    def left(self) -> bool:
+        """Whether the client has closed or cancelled, as far as a look without waiting tells."""
+
 
 @dataclass(slots=True)
 class RPC:
--- a/sorreldock/transport/connection.py
+++ b/sorreldock/transport/connection.py
@@ -112,6 +112,22 @@
         except (OSError, trio.ClosedResourceError):
             pass  # it has gone, or had to make room
 
+    def ended(self) -> bool:
+        """Whether the peer has closed or reset the connection; a look without waiting. What has come besides
+        is read into the ring, and an end behind more than that shows later."""
+        if self._closed:
+            return True
+        if self._reading or not self._incoming.room or not self._sock.is_readable():
+            return False
+        try:
+            count = read_now(self._sock, self._incoming.free_span())
+        except BlockingIOError:
+            return False
+        except (OSError, trio.ClosedResourceError):
+            return True
+        self._incoming.grew(count)
+        return count == 0
+
     @property
     def readable(self) -> bool:
         """Whether something has arrived, be it the peer's end."""
@@ -129,6 +145,18 @@
             self._on_close()
 
 
+def read_now(sock: Any, into: memoryview) -> int:
+    """What a readable socket has, at once: trio's own reading lets others run before and after it."""
+    if not isinstance(sock, trio.socket.SocketType):  # one of another system's
+        count: int = sock.read_now(into)
+        return count
+    held = socket.socket(sock.family, socket.SOCK_STREAM, 0, fileno=sock.fileno())
+    try:
+        return held.recv_into(into)
+    finally:
+        held.detach()
+
+
 def split_address(address: str) -> tuple[str, int]:
     """The host and port of `10.0.0.4:3000` or `[::1]:3000`; a ValueError says what is wrong."""
     host, colon, port = address.rpartition(":")
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -9,12 +9,14 @@
 import trio
 import trio.testing
 from peers import EVENTS, FIELDS, SETTINGS, Call, Discovery, Engine, among, serve_until, story
+from test_bad_days import raw
 
 from sorreldock.program.phases import Phase
 from sorreldock.protocol import engine as engine_client
 from sorreldock.protocol import front as limits
-from sorreldock.protocol.http import discovery as resolver
+from sorreldock.protocol.http import freshness
 from sorreldock.routing.subchannel import CallAttempt
+from sorreldock.transport.connection import Connection
 from sorreldock.transport.pool import Pool
 
 ONE = (
@@ -216,10 +218,62 @@
 @story
 async def test_an_attempt_whose_dial_ends_after_the_drain_is_not_sent_either() -> None:
     subchannel = SimpleNamespace(ready=True)
-    attempt = CallAttempt(None, 0, subchannel, 1.0, lambda attempt: None)  # type: ignore[arg-type]
+    there = [True]
+    attempt = CallAttempt(None, 0, subchannel, 1.0, print, lambda rpc: there[0])  # type: ignore[arg-type]
     assert attempt.may_send()
-    subchannel.ready = False
+    there[0] = False  # its client has left
     assert not attempt.may_send()
+    there[0], subchannel.ready = True, False
+    assert not attempt.may_send()
+
+
+@story
+async def test_a_client_that_left_behind_all_that_it_sent_ahead_gets_no_further_attempt() -> None:
+    held, taken = trio.Event(), trio.Event()
+
+    async def hold(call: Call) -> None:
+        taken.set()
+        await call.left()
+        held.set()
+
+    engine = Engine(hold)
+    async with among(engine) as router:
+        wire = await router.start_post()
+        await taken.wait()
+        await wire.stream.send_all(raw(x_trace_id=b"ahead", body=b"x" * 60_000) * 3)
+        await wire.stream.aclose()  # an end, behind more than a connection's ring holds
+        with trio.fail_after(1.0):
+            await held.wait()
+    assert len(engine.calls) == 1 and router.program.payloads.used == 0
+
+
+@story
+async def test_commands_sent_at_once_are_answered_in_turn_and_their_clocks_run_meanwhile() -> None:
+    first, engine = trio.Event(), Engine()
+    engine.scripts.append(serve_until(first))
+    async with among(engine) as router:
+        wire = await router.connect()
+        sent = [raw(x_trace_id=b"%d" % n, x_expires_in=b"900m", body=b"x" * 9000) for n in range(4)]
+        await wire.stream.send_all(b"".join(sent))
+        await trio.testing.wait_all_tasks_blocked(0.3)  # for so long the others wait for their turn
+        first.set()
+        said = b""
+        while said.count(b"\r\n0\r\n\r\n") < 4:
+            said += await wire.stream.receive_some(65536)
+    told = [int(call.headers["x-expires-in"][:-1]) / 1e6 for call in engine.calls]
+    assert told[0] > 0.8 and all(wait < 0.65 for wait in told[1:]) and router.program.payloads.used == 0
+
+
+@story
+async def test_an_end_is_seen_without_waiting() -> None:
+    ours, theirs = socket.socketpair()
+    ours.setblocking(False)
+    connection = Connection(trio.socket.from_stdlib_socket(ours), lambda: None)
+    assert not connection.ended()
+    theirs.send(b"ahead")
+    assert not connection.ended()
+    theirs.close()
+    assert connection.ended() and await connection.receive() == b"ahead"
 
 
 @story
@@ -237,7 +291,7 @@
 async def test_a_watch_that_is_refused_ends_or_stalls_is_asked_for_again(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(resolver, "STALL_S", 0.1)
+    monkeypatch.setattr(freshness, "SIGN_S", 0.1)
     engine = Engine()
     discovery = Discovery(engine)
     discovery.refuse = 1
