End a client's connection without a reset behind its answer, and answer what has come

Cause, by reading: where the router ends a connection behind an answer (told to stop, or Connection: close) or behind a broken stream it closed at once; bytes that cross make that close a reset, which may overtake the answer's last bytes. Requests read ahead of a stop were dropped with their connection.

Change: such an end is a shutdown, then a short read of what still comes, which nobody serves; requests of which something was read before the stop are answered first.

--- a/sorreldock/protocol/http/front.py
+++ b/sorreldock/protocol/http/front.py
@@ -41,7 +41,7 @@
         self.waiting: trio.CancelScope | None = None
         self.connected_at = trio.current_time()
         self.stage, self.since = Stage.SILENT, self.connected_at
-        self.spoken = False
+        self.spoken = self.hung_up = False
         self.held_bytes = self.ahead_bytes = 0
         self.came_at = self.connected_at  # the last bytes, be they of a request that waits for its turn
         self.final: Final | None = None
@@ -126,16 +126,28 @@
                 finally:
                     self.release_body()
                 if self.parser.our_state is not h11.DONE or self.parser.their_state is not h11.DONE:
+                    await self.leave()
                     return
                 self.parser.start_next_cycle()
-                if self.front.closing and (self.front.passed_on is None or not self.begun()):
+                if self.front.closing and not self.begun():  # what has come of a request is answered
                     await self.pass_on()
+                    if self.front.passed_on is None:
+                        await self.leave()
                     return
         except (ConnectionLost, h11.LocalProtocolError):
             pass  # the client has gone in the middle of an answer
         finally:
             self.release_ahead()
 
+    async def leave(self) -> None:
+        """End the connection behind something that was just written. What still comes is nobody's any more,
+        and its sender learns so by the end of ours."""
+        if not self.hung_up:
+            self.hung_up = True
+            with trio.CancelScope() as self.waiting:
+                self.reach(Stage.IDLE)
+                await self.connection.hang_up(limits.HANG_UP_S, limits.QUIET_S)
+
     def begun(self) -> bool:
         """Whether a part of the next request has been read."""
         return self.parser.trailing_data[0] != b"" or bool(self.connection.unread)
@@ -295,6 +307,8 @@
         elif final.outcome is Outcome.FAILED:
             await self.answer(504 if final.cause.value == "deadline" else 502, "failed")
         else:  # broken or gone: the connection ends here, without the last chunk
+            if final.outcome is Outcome.BROKEN:
+                await self.leave()
             raise ConnectionLost("stream broken")
 
     async def answer(self, status: int, text: str, headers: tuple[tuple[bytes, bytes], ...] = ()) -> None:
@@ -310,9 +324,7 @@
         out += self.encode(h11.Data(data=body)) + self.encode(h11.EndOfMessage())
         await self.write(out)
         if CLOSE in headers:  # the client was at fault: whatever it still sends is not for us
-            with trio.CancelScope() as self.waiting:
-                self.reach(Stage.IDLE)
-                await self.connection.hang_up(limits.HANG_UP_S, limits.QUIET_S)
+            await self.leave()
 
 
 class HttpFront(Front[ClientConnection]):
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from contextlib import suppress
 from types import SimpleNamespace
 
 import pytest
@@ -264,6 +265,28 @@
     assert told[0] > 0.8 and all(wait < 0.65 for wait in told[1:]) and router.program.payloads.used == 0
 
 
+@story
+async def test_what_was_sent_ahead_is_answered_by_a_router_that_was_told_to_stop() -> None:
+    finish, engine = trio.Event(), Engine()
+    engine.scripts.append(serve_until(finish))
+    async with among(engine) as router:
+        wire = await router.connect()
+        await wire.stream.send_all(raw(x_trace_id=b"taken"))
+        said = await wire.stream.receive_some(65536)  # its head says nothing of an end
+        await wire.stream.send_all(raw(x_trace_id=b"ahead"))
+        for front in router.program.fronts.values():
+            await front.linger()
+            await front.drain()
+        finish.set()
+        while more := await wire.stream.receive_some(65536):
+            said += more
+            if said.endswith(b"\r\n0\r\n\r\n"):
+                with suppress(trio.BrokenResourceError):
+                    await wire.stream.send_all(raw(x_trace_id=b"late"))  # crosses the end
+    assert said.count(b"\r\n0\r\n\r\n") == 2 and said.count(b"connection: close") == 1
+    assert [call.headers["x-trace-id"] for call in engine.calls] == ["taken", "ahead"]
+
+
 @story
 async def test_an_end_is_seen_without_waiting() -> None:
     ours, theirs = socket.socketpair()
