Leave the watch to one clock, and spread the first calls of new processes over 3 s

A call in vain is what starts the 6 s; who has not asked yet may keep to its list for must_ask_in_s.

Change: the module hears nothing of losses and its Subscribe is of no effect in the program; a new process asks after 0.6 to 3 s (must_ask_in_s = 10). In stories programs take no signals: of two in one process the one that ended last left the other's handlers behind (found by the fixture, twice).

--- a/sorreldock/program/serve.py
+++ b/sorreldock/program/serve.py
@@ -114,7 +114,6 @@
             config.settings,
             config.seed,
             self._connect,
-            self.resolver.subscribe,
             self.log,
             most_open(config.memory_mb),
             probed_with=probed_with,
--- a/sorreldock/protocol/http/discovery.py
+++ b/sorreldock/protocol/http/discovery.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import json
 import math
 import random
@@ -137,8 +136,8 @@
 
 
 class Resolver:
-    """Watches, from soon after the start on, and opens a watch that ended anew by itself: after the pauses of
-    `Freshness`, or when the module asks if that is sooner."""
+    """Watches, from soon after the start on, and opens a watch that ended anew, after the pauses of
+    `Freshness`. The module hears nothing of losses: two that ask make twice the calls, of a whole fleet."""
 
     def __init__(
         self,
@@ -162,8 +161,7 @@
         self._on_result = on_result
         self._log = log
         self._dial = dial
-        self._send, self._mailbox = trio.open_memory_channel[None](1)
-        self._watching: trio.CancelScope | None = None
+        self._watching = trio.CancelScope()
 
     @property
     def version(self) -> int:
@@ -173,36 +171,23 @@
         """Begin where another process of this router is."""
         self._version = max(version, self._version)
 
-    def subscribe(self) -> None:
-        """Ask for a watch; asking while one is on is of no effect."""
-        if self._watching is None:
-            with contextlib.suppress(trio.WouldBlock):
-                self._send.send_nowait(None)
-
     def move(self, address: str) -> None:
         """Watch another discovery from now on. The versions of one mean nothing to another, so it is asked
         for the whole list; until it answers, what is known holds."""
         self._address, self._version = address, 0
         self._freshness.moved(trio.current_time())
-        if self._watching is not None:
-            self._watching.cancel()
-        else:  # between two watches: the new one need not wait for the pause after the loss
-            self.subscribe()
+        self._watching.cancel()  # or the pause before it
 
     async def run(self) -> None:
         pause = self._freshness.first(trio.current_time(), self._draw())
         while True:
-            with trio.move_on_after(pause):
-                await self._mailbox.receive()
             with trio.CancelScope() as self._watching:
+                await trio.sleep(pause)
                 reason = await self._attempt()
-            moved, self._watching = self._watching.cancelled_caught, None
-            pause = 0.0
-            if not moved:
                 pause = self._freshness.lost(trio.current_time(), self._draw())
                 self._log("notice", "WATCH", "the watch on the list is lost", reason=reason, pause_s=pause)
-                if not self._pushed:  # there the module has nothing to ask for
-                    self._on_result(ResolverResult(ListKind.LOST))
+            if self._watching.cancelled_caught:
+                pause = 0.0
 
     async def _attempt(self) -> str:
         """One watch, to its end; tells why it ended."""
--- a/sorreldock/protocol/http/freshness.py
+++ b/sorreldock/protocol/http/freshness.py
@@ -18,6 +18,7 @@
 # A pause takes this part of what is left beside one answer: the next call may wait in a crowd and in vain.
 PAUSE_SHARE = 1 / 3
 SHORTEST_PAUSE_S = 0.1
+START_S = 0.5 * TOLD_S
 MOST_DOUBLED = 8
 # Where lists are pushed an agent of this router's own has them: nobody else crowds there.
 FIRST_PUSHED_S, LONGEST_PUSHED_S = 0.02, 1.0
@@ -56,9 +57,10 @@
         self._since, self._pauses = now - 2.0, 0
 
     def first(self, now: float, draw: float) -> float:
-        """The pause of a new process with an old list; many may start together."""
+        """The pause of a new process. It may keep to its old list for as long as it has not asked in vain;
+        of many that start together some would, if they asked at once."""
         self._since = now
-        return 0.0 if self._pushed else self._within(now, self._longest, draw)
+        return 0.0 if self._pushed else (0.2 + 0.8 * draw) * min(3.0 * self._first, START_S)
 
     def lost(self, now: float, draw: float) -> float:
         """The pause before the next call; `draw` is from 0 to 1."""
--- a/sorreldock/routing/core.py
+++ b/sorreldock/routing/core.py
@@ -86,7 +86,6 @@
         settings: Settings,
         seed: int,
         connect: Connect,
-        subscribe: Callable[[], None],
         log: Log,
         most_open: int = 512,
         probed_with: str = "http",
@@ -99,7 +98,6 @@
         self.subchannels: dict[int, Subchannel] = {}
         self._gateway = Gateway(settings, seed)
         self._connect = connect
-        self._subscribe = subscribe
         self._log = log
         self.most_open = most_open
         self._probed_with = probed_with
@@ -184,9 +182,6 @@
 
     def resolved(self, result: ResolverResult) -> None:
         """Take a resolver result: the subchannels follow at once, the module in its next batch."""
-        if result.kind is ListKind.LOST:
-            self._post.send_nowait(ReplicaList(ListKind.LOST))
-            return
         entries = tuple(self._entry(target) for target in result.targets)
         listed = {entry.replica for entry in entries}
         if result.kind is not ListKind.DELTA:
@@ -397,7 +392,7 @@
                     else:
                         subchannel.post(Probing())
                 case Subscribe():
-                    self._subscribe()
+                    pass  # the resolver watches by its own clock; two that ask make twice a fleet's calls
                 case TellPeers():
                     pass  # no platform that this program serves lets routers talk
 
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -5,7 +5,7 @@
 import functools
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager, suppress
+from contextlib import AbstractContextManager, asynccontextmanager, nullcontext, suppress
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -17,6 +17,7 @@
 from sorreldock.program.phases import Phase
 from sorreldock.program.serve import Program
 from sorreldock.protocol.http.discovery import decode_result
+from sorreldock.transport.system import Machine
 from sorreldock.wire import decode_settings
 
 SETTINGS: dict[str, Any] = {
@@ -127,6 +128,14 @@
     return slowly
 
 
+class Unsignalled(Machine):
+    """For programs in one process with others and with the tests: of two that took its signals, the one that
+    ends last would put the handlers of the other one back. Stories of signals start processes."""
+
+    def signals(self, *numbers: int) -> AbstractContextManager[AsyncIterator[int]]:
+        return nullcontext(trio.open_memory_channel[int](0)[1])
+
+
 class Peer:
     """Something that listens on a port of its own until its scope ends."""
 
@@ -332,7 +341,7 @@
             console=console,
         )  # fmt: skip
         async with trio.open_nursery() as nursery:
-            router = Router(Program(config), nursery)
+            router = Router(Program(config, system=Unsignalled()), nursery)
             nursery.start_soon(router.program.run)
             await router.program.serving.wait()
             yield router
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -98,6 +98,13 @@
     assert len(calls) < 200 * 20 and max(later) < 50
 
 
+def test_processes_that_start_together_ask_one_after_the_other() -> None:
+    """A call that waits in a crowd in vain is worse than a late one: what was refused is told sooner."""
+    draws = [random.Random(router).random() for router in range(200)]
+    firsts = sorted(Freshness(False, 10.0).first(0.0, draw) for draw in draws)
+    assert max(sum(at <= first < at + 0.1 for first in firsts) for at in firsts) < 20 and firsts[-1] <= 3.0
+
+
 def test_a_move_leaves_less_time() -> None:
     clock = Freshness(False, 10.0)
     clock.first(0.0, 0.0)
