Bound the watch's pauses by what is left of 6 s, and spread them as before

Discovery, back at 10.3 s, serves some 10 calls a second there and spends its time on calls that have waited too long; a fleet that returns quicker than that keeps it in its jam.

Change: pauses double to 0.4 must_ask_in_s as they did, cut only to what is left of 6 s since the call began, or since the call's end where discovery turned it away.

--- a/sorreldock/protocol/http/discovery.py
+++ b/sorreldock/protocol/http/discovery.py
@@ -229,6 +229,7 @@
                 parser.receive_data(data)
             elif isinstance(event, h11.Response):
                 if event.status_code != 200:
+                    self._freshness.refused(trio.current_time())
                     raise ConnectionLost(f"HTTP {event.status_code}")
                 self._freshness.opened(trio.current_time())
             elif isinstance(event, h11.Data):
