Learn a turn's new tokens only from prompts whose length was told

Cause: an engine's kept tokens above a prompt of 0 made a turn's new tokens negative, and history() divided by that 0 (on_attempt_ended, rules.py). Change: kept tokens count where they are over the opening and under the prompt.

--- a/sorreldock/rules.py
+++ b/sorreldock/rules.py
@@ -611,9 +611,9 @@
             self.over_used(replica)
         if event.report:
             self.on_report(replica, event.report)
-        if event.cached_tokens > request.event.prefix_tokens:
+        if request.event.prefix_tokens < event.cached_tokens < request.event.prompt_tokens:
             new, known = request.event.prompt_tokens - event.cached_tokens, self.fresh[request.cls.name]
-            self.fresh[request.cls.name] = known + (new - known) * 0.05 if known < math.inf else max(new, 1.0)
+            self.fresh[request.cls.name] = known + (new - known) * 0.05 if known < math.inf else new
         if event.final or request.done:
             self.finish(request)
         elif not request.running() and request.awaited is None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -207,6 +207,9 @@
     for n in range(3):  # turns at home tell that each has some 100 new tokens
         [sent] = sends(gw.handle(START, [turn(f"t{n}", 1000)]))
         gw.handle(START, [AttemptEnded(sent.request, 0, sent.replica, Status.OK, 0.1, True, 900)])
+    for n in range(3):  # clients that tell no lengths, and an engine that found more than it was told of
+        [sent] = sends(gw.handle(START, [turn(f"u{n}", 0)]))
+        gw.handle(START, [AttemptEnded(sent.request, 0, sent.replica, Status.OK, 0.1, True, 900)])
     home = gw.replicas[sent.replica]
     home.busy, home.p, home.load_at = 3, 0.8, START  # what one of 200 gateways has out there, and a report
     [sent] = sends(gw.handle(START, [turn("next", prompt)]))
