Begin no answer whose deadline has fired in the moment in which its first event came

Cause: CallAttempt.event (routing/subchannel.py) lifted the deadline at the first event, but where a busy program reads event and deadline in the same pass the scope had been cancelled already. Ruled out: the client's end (outcome broken, not gone) and the engine (no reset).

Change: an event that meets a fired deadline before the answer has begun ends the attempt as a timeout, and the client hears the final answer. Result: a story in test_http.py, which fails on the code before.

--- a/sorreldock/routing/subchannel.py
+++ b/sorreldock/routing/subchannel.py
@@ -52,7 +52,9 @@
 
     async def event(self, data: bytes) -> None:
         if not self.started:
-            if self.given_up is not None:  # too late: the core has already given the final answer
+            # Too late: the core has already given the final answer, or the deadline fired in the moment in which
+            # this came. Guards the client: its answer would begin and be cut off by that very deadline.
+            if self.given_up is not None or self.scope.cancel_called:
                 raise SinkClosed
             self.started = True
             self.scope.deadline = math.inf  # once an answer has begun, it has no deadline
@@ -170,7 +172,8 @@
                 elif attempt.given_up is None:
                     report = await client.call(attempt.rpc, attempt)
         except SinkClosed:
-            report = Report(Status.CANCELLED, note="client gone")
+            late = attempt.scope.cancel_called and attempt.given_up is None
+            report = Report(Status.TIMEOUT) if late else Report(Status.CANCELLED, note="client gone")
         except Exception as error:  # whatever a peer may provoke must not end the program
             report = Report(Status.RESET, note=f"fault in the engine client: {error!r}")
         finally:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import socket
+import time
 from contextlib import suppress
 from types import SimpleNamespace
+from typing import Any
 
 import pytest
 import trio
@@ -12,11 +14,12 @@
 from peers import EVENTS, FIELDS, SETTINGS, Call, Discovery, Engine, among, serve_until, story
 from test_bad_days import raw
 
+from sorreldock.interface import Status
 from sorreldock.program.phases import Phase
 from sorreldock.protocol import engine as engine_client
 from sorreldock.protocol import front as limits
 from sorreldock.protocol.http import freshness
-from sorreldock.routing.subchannel import CallAttempt
+from sorreldock.routing.subchannel import CallAttempt, Subchannel
 from sorreldock.transport.connection import Connection
 from sorreldock.transport.pool import Pool
 
@@ -228,6 +231,24 @@
     assert not attempt.may_send()
 
 
+@story
+async def test_an_answer_that_begins_as_its_deadline_fires_is_not_begun() -> None:
+    """A busy program reads both in the same pass: the stream would be cut off by the deadline it outlived."""
+    got: list[Any] = []
+
+    class Late:
+        async def call(self, rpc: Any, progress: Any) -> Any:
+            time.sleep(0.02)  # the program is busy; nothing else runs
+            await progress.event(EVENTS[0])
+
+    sink = SimpleNamespace(left=lambda: False, event=None)
+    subchannel = Subchannel(1, None, {"http": Late()}, "http", lambda *told: got.append(told), print)  # type: ignore
+    rpc = SimpleNamespace(protocol="http", sink=sink)
+    attempt = CallAttempt(rpc, 0, subchannel, 0.01, print, lambda _: True)  # type: ignore[arg-type]
+    await subchannel._attempt(attempt)
+    assert got[0][1].status is Status.TIMEOUT and not attempt.started
+
+
 @story
 async def test_a_client_that_left_behind_all_that_it_sent_ahead_gets_no_further_attempt() -> None:
     held, taken = trio.Event(), trio.Event()
