--- a/sorreldock/routing/subchannel.py
+++ b/sorreldock/routing/subchannel.py
@@ -52,8 +52,8 @@
 
     async def event(self, data: bytes) -> None:
         if not self.started:
-            # Too late: the core has already given the final answer, or the deadline fired in the moment in which
-            # this came. Guards the client: its answer would begin and be cut off by that very deadline.
+            # Too late: the core has given the final answer, or the deadline fired in the moment in which this
+            # came. Guards the client: its answer would begin and be cut off by that very deadline.
             if self.given_up is not None or self.scope.cancel_called:
                 raise SinkClosed
             self.started = True
