--- a/sorreldock/protocol/http/discovery.py
+++ b/sorreldock/protocol/http/discovery.py
@@ -153,7 +153,6 @@
     ) -> None:
         self._address = address
         self._version = version
-        self._pushed = pushed
         self._largest = largest
         self._freshness = Freshness(pushed, must_ask_in_s)
         self._draw = random.Random(seed).random
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -241,10 +241,8 @@
             time.sleep(0.02)  # the program is busy; nothing else runs
             await progress.event(EVENTS[0])
 
-    sink = SimpleNamespace(left=lambda: False, event=None)
     subchannel = Subchannel(1, None, {"http": Late()}, "http", lambda *told: got.append(told), print)  # type: ignore
-    rpc = SimpleNamespace(protocol="http", sink=sink)
-    attempt = CallAttempt(rpc, 0, subchannel, 0.01, print, lambda _: True)  # type: ignore[arg-type]
+    attempt = CallAttempt(SimpleNamespace(protocol="http"), 0, subchannel, 0.01, print, lambda _: True)  # type: ignore[arg-type]
     await subchannel._attempt(attempt)
     assert got[0][1].status is Status.TIMEOUT and not attempt.started
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -196,7 +196,6 @@
     assert [type(a).__name__ for a in gw.handle(START, [call("a")])] == ["Refuse"]
 
 
-
 @pytest.mark.parametrize("prompt", [450, 5000])
 def test_a_later_turn_stays_where_its_history_is_kept_and_a_first_one_moves_on(prompt: int) -> None:
     def turn(name: str, tokens: int) -> RequestArrived:
@@ -204,11 +203,8 @@
         return dataclasses.replace(request, prompt_tokens=tokens, prefix_tokens=400)
 
     gw = gateway(fleet(8), gateways=200)
-    for n in range(3):  # turns at home tell that each has some 100 new tokens
-        [sent] = sends(gw.handle(START, [turn(f"t{n}", 1000)]))
-        gw.handle(START, [AttemptEnded(sent.request, 0, sent.replica, Status.OK, 0.1, True, 900)])
-    for n in range(3):  # clients that tell no lengths, and an engine that found more than it was told of
-        [sent] = sends(gw.handle(START, [turn(f"u{n}", 0)]))
+    for n, told in enumerate((1000, 1000, 1000, 0, 0, 0)):  # a turn has 100 new tokens, or tells no lengths
+        [sent] = sends(gw.handle(START, [turn(f"t{n}", told)]))
         gw.handle(START, [AttemptEnded(sent.request, 0, sent.replica, Status.OK, 0.1, True, 900)])
     home = gw.replicas[sent.replica]
     home.busy, home.p, home.load_at = 3, 0.8, START  # what one of 200 gateways has out there, and a report
