Let a single refusal refuse nobody in the moment in which it is told

Each time two of the three engines were flagged and the third had turned one request away in the very batch: its refusals stood at 0.5 exactly, and choose() took a replica for full from 0.5 on, so that it was full for that instant alone and a spare one a microsecond later. Ruled out: HTTP engines' answers (all 200), deadlines, the cap.

Change: full is what stands above 0.5, that is, turned away twice in short time.

--- a/sorreldock/rules.py
+++ b/sorreldock/rules.py
@@ -329,7 +329,7 @@
                         least, fewest = replica, crowding
                     continue
                 usable = self.usable(replica)
-                if usable and self.refusals(replica) < 0.5:  # a full one would only turn it away again
+                if usable and self.refusals(replica) <= 0.5:  # twice in 2 s: it would only turn it away again
                     if spare is None or self.expected(replica) < self.expected(spare):
                         spare = replica
                 elif usable:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -296,6 +296,17 @@
         assert sends(gw.handle(late, [call(f"r{k}", now=late)]))
 
 
+def test_one_refusal_refuses_nobody_in_the_moment_in_which_it_is_told() -> None:
+    gw = gateway(fleet(3))
+    [first] = sends(gw.handle(START, [call("first")]))
+    for replica in gw.replicas.values():
+        if replica.entry.replica != first.replica:
+            gw.failed(replica)
+    told = ended("first", first, 0, Status.FULL)
+    actions = gw.handle(START + 0.01, [told, *(call(f"r{k}") for k in range(20))])
+    assert {s.request for s in sends(actions)} >= {f"r{k}" for k in range(20)}
+
+
 def test_a_fresh_start_resets_what_was_believed() -> None:
     gw = gateway()
     gw.failed(gw.replicas[1])
