Draw a cold engine's share for 1 to 230 routers, and hold its sum to what the settings allow

The standing test asks for it and nothing checked it: the expected sum of all processes' sends to an engine that has just started is at most N, with 2 x root of N + 2 for chance.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+import random
 
 import pytest
 from helpers import (
@@ -250,6 +251,29 @@
     assert taken and taken < own
 
 
+@pytest.mark.parametrize("gateways", [1, 4, 30, 230])
+def test_all_gateways_together_keep_to_a_cold_replicas_allowance(gateways: int) -> None:
+    """Half as much again as the fleet can do, over openings and gateways as uneven as can be; half of them
+    have heard of an earlier life of the replica. No gateway may count on a request of its own."""
+    g, size, each_s = GUARANTEES, 10, 20.0
+    allowed = g.overload_multiple * g.cold_share * each_s * g.overload_window_s
+    back = [entry(k, started_at=START if k == 4 else 0.0) for k in range(1, size + 1)]
+    for seed in range(16):
+        rng = random.Random(seed)
+        old = [gateway(fleet(size), gateways=gateways) for _ in range(gateways // 2)]
+        new = [gateway(back, gateways=gateways) for _ in range(gateways - len(old))]
+        for gw in old:
+            gw.handle(START, [listing(*back, kind=ListKind.FULL)])
+        taken = 0
+        for k in range(int(1.5 * size * each_s * g.overload_window_s)):
+            now = START + k / (1.5 * size * each_s)
+            gw = (old + new)[int(gateways * rng.random() ** 3)]
+            opening = f"p{seed}-{int(1 / (rng.random() + 0.05))}"
+            asked = call(f"{seed}-{k}", session=f"s{k % 200}", prefix=opening, now=now)
+            taken += sum(s.replica == 4 for s in sends(gw.handle(now, [asked])))
+        assert 0 < taken <= allowed + 2 * math.sqrt(allowed) + 2, (seed, taken, allowed)
+
+
 def test_with_every_replica_cold_the_rest_is_refused() -> None:
     gw = gateway([entry(k, started_at=START) for k in range(1, 5)])
     actions = [a for k in range(400) for a in gw.handle(START, [call(f"r{k}")])]
