Keep a session's home while engines warm up and where thin traffic misleads a router

Changes, in choose() and accepts(): whether a cold engine takes a key is drawn by session, not by request; the session's home, for which its history weighs, is the first choice that is neither flagged nor passed over as cold; cold engines take their share of as many choices of a key as the settings' multiple bears (two at 2.5); over six routers lateness counts against the zone's mean.

--- a/sorreldock/rules.py
+++ b/sorreldock/rules.py
@@ -175,9 +175,7 @@
         self.zone_first = dict.fromkeys(settings.zones, 0.0)
         self.value_sum: list[float] = []
         self.first_sum: list[float] = []
-        self.zone_p = 0.0
-        self.zone_p_at = 0.0
-        self.lateness = 0.0
+        self.zone_p = self.zone_p_at = self.lateness = 0.0
         self.mean_weight = 1.0
         self.zone_salt = mix(key_of(settings.zone))
         self.abroad: list[Replica] = []
@@ -279,24 +277,20 @@
         bound = max(ZONE_CROWDED * fair, ROOMY / max(self.mean_weight, 1e-9))
         return min(max(here / bound - 1.0, 0.0), 0.9)
 
-    def accepts(self, request: Request, replica: Replica, rank: int) -> bool:
-        if replica.failed_until > self.now:
-            return False
-        warm = self.warmth(replica)
-        if warm < 1.0 and (rank > 0 or request.attempts or not self.cold_accepts(request, replica, warm)):
-            return False
-        kept = request.event.prefix_tokens / max(request.event.prompt_tokens, 1)  # read anew if diverted
-        kept = max(kept, self.history(request, rank))
-        late = 2.0 * self.expected(replica) / self.aim(request) - 1.0 - kept
+    def accepts(self, request: Request, replica: Replica, history: float) -> bool:
+        kept = max(request.event.prefix_tokens / max(request.event.prompt_tokens, 1), history)
+        aim, few = self.aim(request), self.settings.gateways <= MANY
+        usual = 0.5 * aim if few else self.zone_first[replica.entry.zone]  # many learn too late
+        late = 2.0 * (self.expected(replica) - usual) / aim - kept
         age = min(max(self.now - replica.load_at, 0.0), 60.0)  # one rejected is seldom asked: p must fade
         p = max(replica.p * math.exp2(-age / FADE_S) - kept, self.refusals(replica), late)
         return unit(mix(request.member_key ^ REJECT), replica.salt) >= p
 
-    def history(self, request: Request, rank: int) -> float:
-        """The part of a later turn's prompt that its session's home, the first choice, has kept."""
+    def history(self, request: Request) -> float:
+        """The part of a later turn's prompt that its session's home has kept."""
         event, fresh = request.event, self.fresh[request.cls.name]
         later = event.session and event.prompt_tokens - event.prefix_tokens >= 2.0 * fresh
-        return 1.0 - fresh / event.prompt_tokens if later and rank == 0 else 0.0
+        return 1.0 - fresh / event.prompt_tokens if later else 0.0
 
     def crowding(self, replica: Replica, bucket: list[Replica]) -> float:
         """Own attempts out at a replica, with one more, as a multiple of the bound on its share of them."""
@@ -315,19 +309,21 @@
         full = False
         for bucket in self.buckets(request):
             least: Replica | None = None
-            fewest = math.inf
+            fewest, kept = math.inf, self.history(request) if bucket is self.zone else 0.0
             for rank, replica in self.candidates(request, bucket):
                 rank += 0 if bucket is self.zone else 1
                 if replica in tried or not self.permitted(request, replica):
                     continue
-                if self.accepts(request, replica, rank):
-                    crowding = self.crowding(replica, bucket)
-                    excess = crowding - 1.0 - self.history(request, rank)
-                    if unit(mix(request.member_key ^ BUSY), replica.salt) >= 2.0 * excess:
-                        return replica
-                    if crowding < fewest:
-                        least, fewest = replica, crowding
-                    continue
+                if replica.failed_until <= self.now and self.warm_for(request, replica, rank):
+                    history, kept = kept, 0.0  # its home is the first of these
+                    if self.accepts(request, replica, history):
+                        crowding = self.crowding(replica, bucket)
+                        excess = crowding - 1.0 - history
+                        if unit(mix(request.member_key ^ BUSY), replica.salt) >= 2.0 * excess:
+                            return replica
+                        if crowding < fewest:
+                            least, fewest = replica, crowding
+                        continue
                 usable = self.usable(replica)
                 if usable and self.refusals(replica) <= 0.5:  # twice in 2 s: it would only turn it away again
                     if spare is None or self.expected(replica) < self.expected(spare):
@@ -359,8 +355,12 @@
             return 1.0
         return g.cold_share + (1.0 - g.cold_share) * max(age, 0.0) / g.warm_up_s
 
-    def cold_accepts(self, request: Request, replica: Replica, warm: float) -> bool:
-        return unit(mix(key_of(request.event.request) ^ COLD), replica.salt) < warm
+    def warm_for(self, request: Request, replica: Replica, rank: int) -> bool:
+        """A cold one takes its share of its keys by session, lest each turn finds another home. At worst each
+        choice brings it as much as the first: so many that half a share is left until it falls over."""
+        warm, most = self.warmth(replica), self.settings.guarantees.overload_multiple
+        spared = request.attempts or rank + 1.5 > max(most, 1.5)
+        return warm >= 1.0 or (not spared and unit(mix(request.member_key ^ COLD), replica.salt) < warm)
 
     # Health.
 
