Refuse for want of room in the fleet, not for want of room among a key's draws

Cause: choose() ended a request as soon as one of the replicas its key draws had turned requests away twice in two seconds and no other drawn one was usable (the flag 'full'), although replicas beyond the draws stood idle: all turns of such a session were refused while there was room. Seen by reading, shown by a test without sockets. Change: beyond the draws whoever is usable is tried before a refusal; a replica that turned requests away twice in two seconds is left out there as among the draws.

--- a/sorreldock/rules.py
+++ b/sorreldock/rules.py
@@ -306,7 +306,6 @@
     def choose(self, request: Request) -> Replica | None:
         tried = [a.replica for a in request.attempts]
         spare: Replica | None = None
-        full = False
         for bucket in self.buckets(request):
             least: Replica | None = None
             fewest, kept = math.inf, self.history(request) if bucket is self.zone else 0.0
@@ -324,26 +323,23 @@
                         if crowding < fewest:
                             least, fewest = replica, crowding
                         continue
-                usable = self.usable(replica)
-                if usable and self.refusals(replica) <= 0.5:  # twice in 2 s: it would only turn it away again
-                    if spare is None or self.expected(replica) < self.expected(spare):
-                        spare = replica
-                elif usable:
-                    full = True
+                if self.usable(replica) and (spare is None or self.expected(replica) < self.expected(spare)):
+                    spare = replica
             if least is not None:  # crowded is not over-used: nothing crosses for it
                 return least
         if spare is not None:  # all are over-used; an estimate alone refuses nobody
             return spare
-        if not full:
-            for failed in (False, True):  # beyond the draws: whoever is left, and at last those with a flag
-                for bucket in self.buckets(request):
-                    left = [r for r in bucket if r not in tried and self.usable(r, failed)]
-                    if left := [r for r in left if self.permitted(request, r)]:
-                        return self.straw(left, request.prefix_key, 0)
+        for failed in (False, True):  # beyond the draws: whoever is left, and at last those with a flag
+            for bucket in self.buckets(request):
+                left = [r for r in bucket if r not in tried and self.usable(r, failed)]
+                if left := [r for r in left if self.permitted(request, r)]:
+                    return self.straw(left, request.prefix_key, 0)
         return None
 
     def usable(self, replica: Replica, failed: bool = False) -> bool:
-        return self.warmth(replica) >= 1.0 and (failed or replica.failed_until <= self.now)
+        """Whether it may be a last resort. One that turned requests away twice in 2 s would do so again."""
+        flagged = replica.failed_until > self.now and not failed
+        return self.warmth(replica) >= 1.0 and self.refusals(replica) <= 0.5 and not flagged
 
     # Warm-up.
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -55,7 +55,7 @@
     Subscribe,
     TimerFired,
 )
-from sorreldock.rules import Gateway
+from sorreldock.rules import Gateway, Request
 
 NEVER_RAN = (Status.FULL, Status.CONNECT_FAILED, Status.NOT_SENT)
 MAY_HAVE_RUN = (Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
@@ -356,6 +356,21 @@
         assert sends(gw.handle(late, [call(f"r{k}", now=late)]))
 
 
+def test_a_session_whose_draws_are_all_full_goes_to_replicas_that_have_room() -> None:
+    """Refusal follows room: by the key alone, all turns of a session would be refused."""
+    gw = gateway(fleet(24))
+    drawn = [replica for _, replica in gw.candidates(Request(call("r", session="s"), SAFE, 1), gw.zone)]
+    assert 1 < len(drawn) < 24
+    for replica in [*drawn, *drawn]:
+        gw.over_used(replica)
+    served = sends(gw.handle(START + 0.01, [call(f"r{k}", session="s") for k in range(20)]))
+    assert len(served) == 20 and not {s.replica for s in served} & {r.entry.replica for r in drawn}
+    for replica in [*gw.zone, *gw.zone]:
+        gw.over_used(replica)
+    actions = gw.handle(START + 0.02, [call("full", session="s")])
+    assert any(isinstance(a, Refuse) for a in actions) and not sends(actions)
+
+
 def test_one_refusal_refuses_nobody_in_the_moment_in_which_it_is_told() -> None:
     gw = gateway(fleet(3))
     [first] = sends(gw.handle(START, [call("first")]))
