Bound when an attempt may be written: repeat window, drain grace, rested connections

Cause, found in the review of what ends a request: a further attempt of a keyed request was checked against the window for repeats when it was decided, not when it was written, so a dial could carry it past the window (CallAttempt.may_send); unwritten requests had a fixed 0.2 s after a drain notice, whatever grace the settings give (WRITTEN_S); a connection was used again in the moment in which its answer ended, though a server may send a second answer some milliseconds late, which the next request would have taken for its own (Pool.get). Change: the window is checked right before the first byte; writing ends after four fifths of the settings' grace, of 0.25 s at the most; an HTTP/1.1 connection rests for 20 ms before its next call. Result: each test was seen to fail with its mend taken out. The test of reuse sets the rest to 0, since it asks at once; what it demands of reuse is unchanged.

--- a/sorreldock/protocol/http/client.py
+++ b/sorreldock/protocol/http/client.py
@@ -20,6 +20,9 @@
 LARGEST_LINE = 16 * 1024
 # The request is at fault, not the engine: another would say the same, so the client gets this word as it is.
 VERDICTS = frozenset(range(400, 500)) - {408, 425, 429}
+# A faulty engine may send an answer twice, the second one some milliseconds late, and HTTP/1.1 can't tell it
+# from the answer to the next request. What comes while a connection rests shows that it can't be used again.
+REST_S = 0.02
 FIELD_NAMES = (b"data", b"", b"event", b"id", b"retry")  # of an event stream; an empty one is a comment
 BLANK = (b"", b"\r")
 REPORT_LINE = b": " + HEADER.encode() + b":"
@@ -150,7 +153,9 @@
         dial: Dial = dial,
         most_idle: int = 1 << 30,
     ) -> None:
-        super().__init__(Pool(address, EngineLine, budget, connect_timeout_s, conn_idle_s, dial, most_idle))
+        super().__init__(
+            Pool(address, EngineLine, budget, connect_timeout_s, conn_idle_s, dial, most_idle, REST_S)
+        )
         self._host = address.encode()
         self._probe_path = probe_path.encode()
 
--- a/sorreldock/routing/core.py
+++ b/sorreldock/routing/core.py
@@ -15,6 +15,7 @@
     AttemptEnded,
     Cancel,
     ClientGone,
+    Effect,
     Event,
     Fail,
     FirstToken,
@@ -62,7 +63,7 @@
 class OpenRPC:
     """An RPC from its arrival to its one final answer, and until its last attempt has ended."""
 
-    __slots__ = ("answered", "arrived_at", "attempts", "out", "rpc", "statuses")
+    __slots__ = ("answered", "arrived_at", "attempts", "first_run_at", "out", "rpc", "statuses")
 
     def __init__(self, rpc: RPC) -> None:
         self.rpc = rpc
@@ -70,6 +71,7 @@
         self.attempts: list[CallAttempt | None] = []
         self.out = 0
         self.statuses: list[Status] = []
+        self.first_run_at: float | None = None  # when the first attempt was made that may have run
         self.answered = False
 
     @property
@@ -214,6 +216,7 @@
                 self._probed_with,
                 self._attempt_ended,
                 self._probe_ended,
+                self.settings.guarantees.drain_grace_s,
             )
             self.subchannels[entry.replica] = known
             if self._nursery is not None:
@@ -261,6 +264,8 @@
         entry.out -= 1
         entry.statuses.append(report.status)
         entry.attempts[attempt.number] = None
+        if entry.first_run_at is None and report.status not in NEVER_RAN:
+            entry.first_run_at = attempt.made_at
         if not entry.answered:
             if report.status is Status.OK:
                 self._finish(entry, Final(Outcome.SERVED, verdict=report.verdict))
@@ -416,12 +421,29 @@
         left = entry.rpc.expires_at - trio.current_time()
         wait = min(timeout_s, left) if timeout_s > 0 else left
         attempt = CallAttempt(
-            entry.rpc, number, subchannel, wait, self._attempt_began, self._wanted
+            entry.rpc,
+            number,
+            subchannel,
+            wait,
+            self._attempt_began,
+            self._wanted,
+            self._send_by(entry),
         )
         entry.attempts.append(attempt)
         entry.out += 1
         subchannel.post(Start(attempt))
 
+    def _send_by(self, entry: OpenRPC) -> float:
+        """Until when a further attempt may be written.
+
+        Servers discard repeats of a keyed request for the time in the settings, counted from the first attempt
+        that may have run.
+        """
+        rpc_class = self.classes[entry.rpc.rpc_class]
+        if entry.first_run_at is None or rpc_class.effect is not Effect.KEYED:
+            return math.inf
+        return entry.first_run_at + rpc_class.dedup_window_s
+
     def _too_late(self, request: str, replica: int) -> None:
         """The module decided this attempt in the batch in which it heard that nobody waits. Guards its count
         of what is out: without a word of the end, the replica would look busy for ever."""
--- a/sorreldock/routing/subchannel.py
+++ b/sorreldock/routing/subchannel.py
@@ -11,18 +11,29 @@
 from ..interface import Status
 from .types import RPC, EngineClient, Report, SinkClosed, Target
 
-# After the notice of an engine's end, for the last bytes of requests that were on their way: what is new to
-# the engine 250 ms after the notice breaks the rule.
-WRITTEN_S = 0.2
+# What is new to an engine so long after the notice of its end breaks the rule, whatever a deployment grants.
+LONGEST_GRACE_S = 0.25
+GRACE_SHARE = 0.8  # of that, for the last bytes of requests that were on their way; the rest is for the wire
+
+
+def time_to_finish_writing(drain_grace_s: float) -> float:
+    """How long after the notice of an engine's end a request may still be written to its last byte."""
+    return GRACE_SHARE * min(drain_grace_s, LONGEST_GRACE_S)
 
 
 class CallAttempt:
     """One attempt of an RPC at one engine."""
 
     def __init__(
-        self, rpc: RPC, number: int, subchannel: Subchannel, timeout_s: float, on_first: FirstCallback,
+        self,
+        rpc: RPC,
+        number: int,
+        subchannel: Subchannel,
+        timeout_s: float,
+        on_first: FirstCallback,
         wanted: Wanted,
-    ) -> None:  # fmt: skip
+        send_by: float = math.inf,
+    ) -> None:
         self.rpc = rpc
         self.number = number
         self.subchannel = subchannel
@@ -35,13 +46,16 @@
         self.given_up: Status | None = None  # why the router stopped it, if it did
         self._on_first = on_first
         self._wanted = wanted
+        self._send_by = send_by
 
     def may_send(self) -> bool:
         # Guards against an attempt for nobody: a client may have left while its engine was dialled, or in the
         # moment before, and the task that waits for its end has not run yet.
         wanted = self.given_up is None and self._wanted(self.rpc)
+        # Guards against effects twice: servers discard a repeat for so long, and dialling has taken some of it.
+        in_time = trio.current_time() <= self._send_by
         # Guards the drain rule: an attempt that was dialling when its engine began to drain is not sent.
-        self.sending = self.subchannel.ready and wanted
+        self.sending = self.subchannel.ready and wanted and in_time
         return self.sending
 
     def sent(self) -> None:
@@ -99,6 +113,7 @@
         probed_with: str,
         on_ended: Callable[[CallAttempt, Report, float], None],
         on_probed: Callable[[Subchannel, Report, float], None],
+        drain_grace_s: float = LONGEST_GRACE_S,
     ) -> None:
         self.number = number
         self.target = target
@@ -107,6 +122,7 @@
         self._probed_with = probed_with
         self._on_ended = on_ended
         self._on_probed = on_probed
+        self._finish_writing_s = time_to_finish_writing(drain_grace_s)
         self._out: dict[CallAttempt, None] = {}
         # Orders come from the module alone, so their number is bounded by the open RPCs and its probes.
         self._send, self._mailbox = trio.open_memory_channel[Order](math.inf)
@@ -156,7 +172,7 @@
         """Guards the drain rule: a request whose bytes still go out has not run, and counts with its last
         one. What is not written soon after the notice goes elsewhere."""
         begun = self._unwritten()
-        await trio.sleep(WRITTEN_S)
+        await trio.sleep(self._finish_writing_s)
         if not self.ready:
             for attempt in begun:
                 if attempt in self._out and not attempt.written:
--- a/sorreldock/transport/pool.py
+++ b/sorreldock/transport/pool.py
@@ -41,6 +41,7 @@
         conn_idle_s: float,
         dial: Dial = dial,
         most_idle: int = 1 << 30,
+        rest_s: float = 0.0,
     ) -> None:
         self.address = address
         self._wrap = wrap
@@ -49,13 +50,14 @@
         self._connect_timeout_s = connect_timeout_s
         self._reusable_s = conn_idle_s * self.REUSED_BEFORE
         self._most_idle = most_idle
+        self._rest_s = rest_s  # how long a connection stays unused after a call
         self._idle: list[tuple[float, L]] = []  # the last one put back is the first one taken
         budget.evictors[Use.ENGINE].append(self.evict)
 
     async def get(self) -> L:
         """An idle line, else a new one; DialFailed when none comes up."""
-        while self._idle:
-            since, line = self._idle.pop()
+        while (idle := self._take_rested()) is not None:
+            since, line = idle
             if trio.current_time() - since < self._reusable_s and await line.usable():
                 return line
             line.connection.close()
@@ -64,6 +66,14 @@
         on_close = lambda: self._budget.give_back(Use.ENGINE)  # noqa: E731
         return self._wrap(await self._dial(self.address, self._connect_timeout_s, on_close))
 
+    def _take_rested(self) -> tuple[float, L] | None:
+        """The idle line put back last among those that have rested."""
+        rested_since = trio.current_time() - self._rest_s
+        for place in range(len(self._idle) - 1, -1, -1):
+            if self._idle[place][0] <= rested_since:
+                return self._idle.pop(place)
+        return None
+
     def give_back(self, line: L, whole: bool) -> None:
         """Keep the connection if its last exchange went to its end, else close it."""
         if whole and line.renew():
--- /dev/null
+++ b/tests/test_attempt_limits.py
@@ -0,0 +1,87 @@
+"""Limits on when an attempt may be written to a server, and on which connection."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+import trio
+from peers import EVENTS, SETTINGS, Call, Engine, among, serve_well, story
+
+from sorreldock.program import serve as program_serve
+from sorreldock.routing.subchannel import CallAttempt, time_to_finish_writing
+from sorreldock.transport.connection import Connection
+
+
+@story
+async def test_a_second_answer_that_comes_late_is_not_the_next_requests() -> None:
+    spoil, engine = trio.Event(), Engine()
+
+    async def twice(call: Call) -> None:
+        await serve_well(call)
+        await spoil.wait()
+        await call.wire.stream.send_all(
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n10\r\ndata: stolen..\n\n\r\n0\r\n\r\n"
+        )
+
+    engine.scripts.append(twice)
+    async with among(engine) as router:
+        assert (await router.post(x_trace_id="t0")).whole
+        got = await router.post(x_trace_id="t1")  # at once: the first connection has not rested
+        assert got.body == b"".join(EVENTS) and engine.connections == 2
+        spoil.set()
+        for n in range(2, 6):
+            assert (await router.post(x_trace_id=f"t{n}")).body == b"".join(EVENTS)
+
+
+def test_writing_stops_within_the_drain_grace_of_the_settings() -> None:
+    assert time_to_finish_writing(0.1) == pytest.approx(0.08)
+    assert time_to_finish_writing(0.25) == time_to_finish_writing(5.0) == pytest.approx(0.2)
+
+
+@story
+async def test_an_attempt_is_not_written_after_its_time() -> None:
+    subchannel: Any = SimpleNamespace(ready=True)
+    now = trio.current_time()
+    for send_by, may in ((now - 0.001, False), (now + 60.0, True)):
+        attempt = CallAttempt(None, 0, subchannel, 1.0, print, lambda rpc: True, send_by)  # type: ignore[arg-type]
+        assert attempt.may_send() is may
+
+
+@story
+async def test_no_repeat_of_a_keyed_request_is_written_after_its_window(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The module decides within the window, and the dial outlasts it."""
+    window_s = 0.3
+    categories = [{**c, "effect": "keyed", "window_s": window_s} for c in SETTINGS["categories"]]
+    dialled: list[float] = []
+    dial = program_serve.dialler
+
+    def slow_dialler(system: Any) -> Any:
+        real = dial(system)
+
+        async def slow(address: str, timeout_s: float, on_close: Any) -> Connection:
+            connection: Connection = await real(address, timeout_s, on_close)
+            if address != discovery_address:
+                dialled.append(trio.current_time())
+                if len(dialled) == 2:  # the second attempt's: up only after the window
+                    await trio.sleep_until(dialled[0] + 2 * window_s)
+            return connection
+
+        return slow
+
+    monkeypatch.setattr(program_serve, "dialler", slow_dialler)
+
+    async def fail(call: Call) -> None:
+        await call.answer(500)
+
+    first, second = Engine(fail), Engine(fail)
+    discovery_address = ""
+    async with among(first, second, categories=categories) as router:
+        discovery_address = router.program.config.discovery
+        dialled.clear()
+        got = await router.post()
+    assert got.status in (502, 503, 504) and len(dialled) == 2
+    assert len(first.calls) + len(second.calls) == 1
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -18,6 +18,7 @@
 from sorreldock.program.phases import Phase
 from sorreldock.protocol import engine as engine_client
 from sorreldock.protocol import front as limits
+from sorreldock.protocol.http import client as http_client
 from sorreldock.protocol.http import freshness
 from sorreldock.routing.subchannel import CallAttempt, Subchannel
 from sorreldock.transport.connection import Connection
@@ -163,6 +164,7 @@
 async def test_connections_are_reused_but_not_near_the_engines_idle_limit(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
+    monkeypatch.setattr(http_client, "REST_S", 0.0)
     engine = Engine()
     async with among(engine) as router:
         for _ in range(3):
