Answer or let go of what is owed when clients leave, listeners close and routers drain

Cause, found in the review of what ends a request: - a client's end behind more than 256 KiB sent ahead was not seen, since reading stopped there (watch); - requests sent ahead took the arrival time of the last bytes on the connection, so an earlier one told its server more time than its client had (came_at); - connections in the backlog were reset when the listener closed (Listener.serve); - a drain closed connections that were reading on behind an error answer, so that bytes still coming turned the answer into a reset (close_if_idle); - the program ended 2 s after its last open RPC, though requests half read or answers half written were left (Front.closed); - over gRPC the reader of a connection waited for the client to read its answers, so cancels were not seen and further requests not read meanwhile (flush in read and in give_room). Change: what is sent ahead beyond one largest request is read and dropped, and the first request dropped gets a 503; arrival times are kept by position; the backlog is taken before the close; a drain leaves such connections be and waits for every answer that is owed; control frames are handed over without waiting, 64 KiB of them at the most.

--- a/sorreldock/program/serve.py
+++ b/sorreldock/program/serve.py
@@ -43,6 +43,7 @@
 ENGINE_HOLDS, LEAST_IDLE = 240, 4
 LIST_PART = 32  # of the memory, for a list on its way
 DRAIN_S = 60.0  # then what still streams is cut off: a reader that trickles must not keep the program
+CONNECTIONS_END_S = 2.0  # for connections to end once all answers are written
 
 
 def payload_bytes(memory_mb: int) -> int:
@@ -172,7 +173,7 @@
         while True:
             await self.core.drained()
             for front in self.fronts.values():
-                await front.closed(2.0)
+                await front.closed(CONNECTIONS_END_S)
             if not self.core.open:
                 return
 
--- a/sorreldock/protocol/front.py
+++ b/sorreldock/protocol/front.py
@@ -24,6 +24,7 @@
 HANG_UP_S = 5.0  # to read on after an error: 60 MB that were under way arrive in it
 QUIET_S = 1.0  # of nothing, and nothing more will come
 LATE_S = 1.0  # for the first byte, or call, of who comes to a drained router
+CLOSE_POLL_S = 0.01
 SHED_AT_ONCE = 8  # connections that make room in one step, if their patience is used up
 
 
@@ -43,6 +44,10 @@
     def readable(self) -> bool:
         """Whether something has just come on it."""
 
+    @property
+    def owes_answer(self) -> bool:
+        """Whether a request has been read, in whole or in part, whose answer is not written yet."""
+
     async def run(self) -> None: ...
 
     def make_room(self) -> None:
@@ -134,7 +139,9 @@
                 self._log("notice", "CROWD", "connections closed to make room", **counts)
 
     async def closed(self, within_s: float) -> None:
-        """Wait until the last answer has been written."""
+        """Wait until the last answer has been written, and then so long for the connections to end."""
+        while any(client.owes_answer for client in self.clients):
+            await trio.sleep(CLOSE_POLL_S)
         with trio.move_on_after(within_s):
             while self.clients:
-                await trio.sleep(0.01)
+                await trio.sleep(CLOSE_POLL_S)
--- a/sorreldock/protocol/http/front.py
+++ b/sorreldock/protocol/http/front.py
@@ -12,9 +12,13 @@
 from ...transport.crowd import Stage
 from .. import front as limits
 from ..front import Front
+from .arrivals import Arrivals
 from .fields import SERVED_PATH, BadRequest, HttpPayload, rpc_from, single
 
 LARGEST_HEAD = 16 * 1024
+# Bytes kept of requests that a client sends before it has been answered: one of the largest. Later ones are
+# read and dropped, since the client's close can only be seen behind them; the first of them gets a 503.
+LARGEST_AHEAD = limits.LARGEST_BODY + LARGEST_HEAD
 LEAST_WAIT_S = 0.001  # of who has given up already: the module ends it
 IDLE_S = 5.0  # between requests; the platform allows 2 s, and clients come again over a new connection
 CLOSE = (b"connection", b"close")
@@ -43,12 +47,19 @@
         self.stage, self.since = Stage.SILENT, self.connected_at
         self.spoken = self.hung_up = False
         self.held_bytes = self.ahead_bytes = 0
-        self.came_at = self.connected_at  # the last bytes, be they of a request that waits for its turn
+        self.arrivals = Arrivals(self.connected_at)
+        self.dropping = False  # more was sent ahead than is kept: what comes now is read and dropped
         self.final: Final | None = None
         self.finished = trio.Event()
         self.head_sent = False
 
+    @property
+    def owes_answer(self) -> bool:
+        return self.stage in (Stage.HALF, Stage.TAKEN)
+
     def close_if_idle(self) -> bool:
+        if self.hung_up:  # its last answer may be unread, and a close could turn it into a reset
+            return False
         idle = self.waiting is not None and not self.waiting.cancel_called
         if self.waiting is not None:
             self.waiting.cancel()
@@ -150,7 +161,7 @@
 
     def begun(self) -> bool:
         """Whether a part of the next request has been read."""
-        return self.parser.trailing_data[0] != b"" or bool(self.connection.unread)
+        return self.dropping or self.parser.trailing_data[0] != b"" or bool(self.connection.unread)
 
     async def pass_on(self) -> None:
         """Leave the connection to the process that follows, if there is one; what the kernel holds unread of
@@ -197,8 +208,11 @@
             if event is h11.NEED_DATA:
                 if self.parser.they_are_waiting_for_100_continue:
                     await self.write(self.encode(h11.InformationalResponse(status_code=100, headers=[])))
+                if self.dropping:
+                    raise Answered(503, "too much was sent ahead", (CLOSE,))
                 data = await self.connection.receive()
-                self.since = self.came_at = trio.current_time()
+                self.since = trio.current_time()
+                self.arrivals.add(len(data), self.since)
                 self.parser.receive_data(data)
             elif isinstance(event, h11.ConnectionClosed):
                 return None
@@ -259,7 +273,8 @@
         assert isinstance(rpc.payload, HttpPayload)
         rpc.payload = replace(rpc.payload, body=await self.body(headers.get(b"content-length", b"0")))
         # One that waited behind another's answer: its client's clock ran meanwhile.
-        rpc.expires_in_s = max(rpc.expires_in_s - (trio.current_time() - self.came_at), LEAST_WAIT_S)
+        arrived_at = self.arrivals.of_last_parsed(len(self.parser.trailing_data[0]))
+        rpc.expires_in_s = max(rpc.expires_in_s - (trio.current_time() - arrived_at), LEAST_WAIT_S)
         try:
             core.submit(rpc)
         except Overloaded:
@@ -276,20 +291,24 @@
         await self.conclude()
 
     async def watch(self, rpc: RPC) -> None:
-        """Notice that the client has gone. What it sends ahead is for the parser; its end comes behind."""
+        """Read on until the client closes, and tell the core when it does."""
         try:
             while data := await self.connection.receive():
-                self.came_at = trio.current_time()
-                self.parser.receive_data(data)
-                # Guards memory: past the bound the kernel keeps what comes, and an end behind it waits.
-                full = self.ahead_bytes + len(data) > limits.LARGEST_BODY
-                if full or not self.front.payloads.take(len(data)):
-                    await trio.sleep_forever()
-                self.ahead_bytes += len(data)
+                self.keep_ahead(data)
         except ConnectionLost:
             pass
         self.front.core.client_gone(rpc)
 
+    def keep_ahead(self, data: bytes) -> None:
+        """Keep what belongs to later requests for the parser, within the bounds on memory."""
+        room = self.ahead_bytes + len(data) <= LARGEST_AHEAD
+        if self.dropping or not room or not self.front.payloads.take(len(data)):
+            self.dropping = True
+            return
+        self.ahead_bytes += len(data)
+        self.arrivals.add(len(data), trio.current_time())
+        self.parser.receive_data(data)
+
     async def conclude(self) -> None:
         final = self.final
         assert final is not None
--- a/sorreldock/protocol/kserve/front.py
+++ b/sorreldock/protocol/kserve/front.py
@@ -106,6 +106,12 @@
         self.trailing: Headers = []  # the engine's own, for the client
         self.final: Final | None = None
         self.finished = trio.Event()
+        self.answering = False  # from a request's submission until its answer is handed to the wire
+
+    @property
+    def owes_answer(self) -> bool:
+        """A long stream between two requests owes none."""
+        return self.unary or self.answering or self.unframer.partial
 
     # The core's side.
 
@@ -180,13 +186,13 @@
                 )
             message = self.unframer.next()
             if message is not None:
-                await self.give_room()
+                self.give_room()
                 return message
             if self.ended:
                 if self.unframer.partial:
                     raise GrpcError(Code.INVALID_ARGUMENT, "the last message is cut off")
                 return None
-            await self.give_room()
+            self.give_room()
             # A stream may stand open between its messages; a request that has begun goes on.
             begun = self.unary or self.unframer.partial
             with trio.move_on_after(limits.STALL_S if begun else math.inf) as stall:
@@ -194,12 +200,12 @@
             if stall.cancelled_caught:
                 raise GrpcError(Code.DEADLINE_EXCEEDED, "the request does not go on")
 
-    async def give_room(self) -> None:
+    def give_room(self) -> None:
         """Let the client send on; what was read is bounded by the largest message."""
         if self.unread and not self.ended:
             unread, self.unread = self.unread, 0
             self.client.wire.consumed(self.number, unread)
-            await self.client.wire.flush()
+            self.client.wire.hand_over()
 
     async def run(self) -> None:
         """Lead the call to its one status."""
@@ -271,9 +277,11 @@
             ) from None
         except NameTaken:
             raise GrpcError(Code.ALREADY_EXISTS, f"{MARK}request-id is that of an open request") from None
+        self.answering = True
         try:
             await self.finished.wait()
         finally:
+            self.answering = False
             front.core.client_gone(rpc)  # of no effect once it is answered
         assert self.final is not None
         error = answer_of(self.final)
@@ -365,6 +373,10 @@
             return Stage.TAKEN
         return Stage.IDLE if self.spoken else Stage.SILENT
 
+    @property
+    def owes_answer(self) -> bool:
+        return self.wire.unsent or any(stream.owes_answer for stream in self.streams.values())
+
     @property
     def since(self) -> float:
         return self.idle_since
@@ -427,7 +439,7 @@
             self.spoken = self.spoken or bool(events)
             for event in events:
                 self.take(event, nursery)
-            await self.wire.flush()
+            self.wire.hand_over()
 
     def take(self, event: h2.events.Event | Farewell, nursery: trio.Nursery) -> None:
         match event:
--- a/sorreldock/protocol/kserve/grpc.py
+++ b/sorreldock/protocol/kserve/grpc.py
@@ -76,14 +76,30 @@
     no frame half written, which would end the connection for all the others."""
 
     MOST_PENDING = 64 * 1024
+    MOST_CONTROL = 64 * 1024  # answers to a client's own frames (settings, pings) that it may leave unread
 
     def __init__(self, connection: Connection, most_streams: int) -> None:
         super().__init__(connection, client_side=False, most_streams=most_streams)
         self._pending = b""
+        self._control_bytes = 0  # of those, control frames handed over since the last write ended
         self._sending = False
         self._wake = trio.Event()
         self._sent = trio.Event()
 
+    @property
+    def unsent(self) -> bool:
+        return bool(self._pending) or self._sending
+
+    def hand_over(self) -> None:
+        """Hand over control frames without waiting for the client to read its answers: a cancel that arrives
+        meanwhile would not be seen, and a request not be read."""
+        control = self.take_out()
+        self._control_bytes += len(control)
+        if self._control_bytes > self.MOST_CONTROL:
+            raise ConnectionLost("the client takes nothing and sends on")
+        self._pending += control
+        self._wake.set()
+
     async def flush(self) -> None:
         """Hand over what the state has to say, and wait while too much of it is unsent."""
         self._pending += self.take_out()
@@ -103,10 +119,11 @@
             if scope.cancelled_caught:
                 raise ConnectionLost("the client takes nothing")
             self._sending = False
+            self._control_bytes = 0
             self._sent.set()
             self._sent = trio.Event()
 
     async def flushed(self) -> None:
         """Wait until all has been written."""
-        while self._pending or self._sending:
+        while self.unsent:
             await self._sent.wait()
--- a/sorreldock/transport/listener.py
+++ b/sorreldock/transport/listener.py
@@ -11,6 +11,8 @@
 from .connection import Connection, split_address
 from .system import MACHINE, System
 
+ACCEPT_PAUSE_S = 0.01  # after a failed accept: the system may be short of descriptors or memory
+
 
 class Listener:
     def __init__(
@@ -46,30 +48,48 @@
 
     async def serve(self, nursery: trio.Nursery, handle: Callable[[Connection], Awaitable[None]]) -> None:
         """Accept until `close`; the connections outlive it in `nursery`."""
-        with self._scope, self._sock:
-            while True:
-                await self._wait_readable(self._sock)  # nobody makes room for nobody
-                # Guards the descriptor limit: with all in use, newcomers wait in the kernel's backlog.
-                while not self._budget.take(Use.CLIENT):
-                    await self._budget.freed(0.05)
-                try:
-                    sock, _ = await self._sock.accept()
-                except OSError:  # the newcomer has gone again, or the system is short of something
-                    self._budget.give_back(Use.CLIENT)
-                    await trio.sleep(0.01)
-                    continue
-                except trio.Cancelled:
-                    self._budget.give_back(Use.CLIENT)
-                    raise
-                try:
-                    connection = Connection(
-                        sock, lambda: self._budget.give_back(Use.CLIENT), self._wait_readable
-                    )
-                except OSError:
-                    sock.close()
-                    self._budget.give_back(Use.CLIENT)
-                    continue
-                nursery.start_soon(self._attend, handle, connection)
+        with self._sock:
+            with self._scope:
+                while True:
+                    await self._wait_readable(self._sock)  # nobody makes room for nobody
+                    # Guards the descriptor limit: with all in use, newcomers wait in the kernel's backlog.
+                    while not self._budget.take(Use.CLIENT):
+                        await self._budget.freed(0.05)
+                    if not await self._accept(nursery, handle):
+                        await trio.sleep(ACCEPT_PAUSE_S)
+            if self._scope.cancelled_caught and not self._inherited:
+                with trio.CancelScope(shield=True):
+                    await self._accept_backlog(nursery, handle)
+
+    async def _accept_backlog(
+        self, nursery: trio.Nursery, handle: Callable[[Connection], Awaitable[None]]
+    ) -> None:
+        """Take the connections that the kernel has already accepted.
+
+        Closing the socket would reset them, with requests that their clients take for delivered.
+        """
+        while self._sock.is_readable() and self._budget.take(Use.CLIENT):
+            if not await self._accept(nursery, handle):
+                return
+
+    async def _accept(self, nursery: trio.Nursery, handle: Callable[[Connection], Awaitable[None]]) -> bool:
+        """Accept one connection, on a descriptor that the budget has given; tells whether one came."""
+        try:
+            sock, _ = await self._sock.accept()
+        except OSError:  # the newcomer has gone again, or the system is short of something
+            self._budget.give_back(Use.CLIENT)
+            return False
+        except trio.Cancelled:
+            self._budget.give_back(Use.CLIENT)
+            raise
+        try:
+            connection = Connection(sock, lambda: self._budget.give_back(Use.CLIENT), self._wait_readable)
+        except OSError:
+            sock.close()
+            self._budget.give_back(Use.CLIENT)
+            return True
+        nursery.start_soon(self._attend, handle, connection)
+        return True
 
     def adopt(
         self, descriptor: int, nursery: trio.Nursery, handle: Callable[[Connection], Awaitable[None]]
--- a/tests/grpc_peers.py
+++ b/tests/grpc_peers.py
@@ -249,11 +249,12 @@
 
 
 @asynccontextmanager
-async def grpc_client(router: Router, hungry: bool = True) -> AsyncIterator[Client]:
+async def grpc_client(router: Router, hungry: bool = True, reads: bool = True) -> AsyncIterator[Client]:
     host, port = router.program.addresses["kserve"].rsplit(":", 1)
     stream = await trio.open_tcp_stream(host, int(port))
     end = End(stream, client=True, hungry=hungry)
     async with stream, trio.open_nursery() as nursery:
-        nursery.start_soon(end.read)
+        if reads:
+            nursery.start_soon(end.read)
         yield Client(end)
         nursery.cancel_scope.cancel()
