Leave out older changes to the list, and drain gRPC clients without waiting for each

Cause, found in the review of what ends a request: a change with an older revision than the one known was applied, so a watch that returns one would bring back a server that drains (Resolver._take); at a stop the gRPC front waited up to 0.2 s for each client that reads nothing, one after the other (_tell_going). Change: a delta older than what is known is logged and left out, a whole list always counts; the notice is handed over without waiting.

--- a/sorreldock/protocol/http/discovery.py
+++ b/sorreldock/protocol/http/discovery.py
@@ -244,6 +244,12 @@
 
     def _take(self, raw: Any) -> None:
         result = decode_result(raw)
+        if result.kind is ListKind.DELTA and result.version < self._version:
+            # Guards the drain rule: an older change would bring back servers that have been told to end since.
+            self._log(
+                "notice", "WATCH", "an older change is left out", rev=result.version, known=self._version
+            )
+            return
         self._version = result.version
         self._on_result(result)
         self.listed.set()
--- a/sorreldock/protocol/kserve/front.py
+++ b/sorreldock/protocol/kserve/front.py
@@ -567,21 +567,20 @@
                 raise GrpcError(Code.UNIMPLEMENTED, f"{method[:100]} is not served here")
 
     async def linger(self) -> None:
-        await self._tell_going()
+        self._tell_going()
 
     async def drain(self) -> None:
         self.accepting = False
-        await self._tell_going()
+        self._tell_going()
 
     def resume(self) -> None:
         self.accepting = True
 
-    async def _tell_going(self) -> None:
+    def _tell_going(self) -> None:
         """GOAWAY to all: first while still accepting, then for good."""
         for client in list(self.clients):
             client.go_away()
-            with trio.move_on_after(0.2):
-                try:
-                    await client.wire.flush()
-                except ConnectionLost:
-                    client.scope.cancel()
+            try:
+                client.wire.hand_over()  # one that reads nothing must not keep the others waiting
+            except ConnectionLost:
+                client.scope.cancel()
--- a/tests/test_shutdown_and_cancellation.py
+++ b/tests/test_shutdown_and_cancellation.py
@@ -9,7 +9,7 @@
 import trio.testing
 from grpc_peers import BOTH, SharedEngine, Stream, grpc_client
 from grpc_peers import request as grpc_request
-from peers import Call, Engine, among, serve_until, story
+from peers import Call, Discovery, Engine, among, serve_until, story
 from test_bad_days import all_of, raw
 
 from sorreldock.program import serve as program_serve
@@ -202,6 +202,8 @@
         await client.cancel(second)
         with trio.fail_after(1.0):
             await left.wait()
+        with trio.fail_after(0.1):  # nor is a drain kept waiting by it
+            await router.program.fronts["kserve"].drain()
 
 
 @story
@@ -221,3 +223,22 @@
         assert not stream.left()
         client.end.stream.socket.close()  # type: ignore[attr-defined]
         assert stream.left() and connection.streams  # nothing has run since: its reader has not heard
+
+
+@story
+async def test_an_older_change_does_not_bring_back_a_server_that_drains() -> None:
+    first, second = Engine(), Engine()
+    discovery = Discovery(first, second)
+    async with among(first, second, discovery=discovery) as router:
+        await discovery.watching.wait()
+        subchannels = router.program.core.subchannels
+        discovery.tell(e0="Terminating")
+        while all(s.ready for s in subchannels.values()):
+            await trio.sleep(0.005)
+        known = router.program.resolver.version
+        ready = {**discovery.targets()[0], "state": "Ready"}
+        router.program.resolver._take({"rev": known - 1, "all": False, "targets": [ready]})
+        assert [s.ready for s in subchannels.values()].count(False) == 1
+        assert router.program.resolver.version == known
+        router.program.resolver._take({"rev": known + 1, "all": False, "targets": [ready]})
+        assert all(s.ready for s in subchannels.values())
