--- a/tests/test_shutdown_and_cancellation.py
+++ b/tests/test_shutdown_and_cancellation.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import errno
 import socket
+from typing import Any
 
 import pytest
 import trio
@@ -132,6 +134,48 @@
         client.close()
 
 
+class ShortOfDescriptors:
+    """A listening socket whose first accepts fail as they do when the system has no descriptor left."""
+
+    def __init__(self, sock: Any, failures: int) -> None:
+        self.sock, self.failures = sock, failures
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.sock, name)
+
+    def __enter__(self) -> None:
+        self.sock.__enter__()
+
+    def __exit__(self, *error: Any) -> None:
+        self.sock.__exit__(*error)
+
+    async def accept(self) -> Any:
+        if self.failures:
+            self.failures -= 1
+            raise OSError(errno.EMFILE, "too many open files")
+        return await self.sock.accept()
+
+
+@story
+async def test_a_newcomer_is_served_once_there_are_descriptors_again() -> None:
+    budget = Descriptors(1024)
+    listener = Listener("127.0.0.1:0", budget)
+    host, port = (await listener.bind()).rsplit(":", 1)
+    short = listener._sock = ShortOfDescriptors(listener._sock, 3)
+
+    async def handle(connection: Connection) -> None:
+        await connection.send(await connection.receive())
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(listener.serve, nursery, handle)
+        client = await trio.open_tcp_stream(host, int(port))
+        await client.send_all(b"request")
+        assert await client.receive_some(100) == b"request" and short.failures == 0
+        await client.aclose()
+        listener.close()
+    assert budget.used[Use.CLIENT] == 0
+
+
 @story
 async def test_a_request_half_read_at_the_end_of_the_drain_is_answered(
     monkeypatch: pytest.MonkeyPatch,
