Pass on the request fields that the router does not know

Cause: the front kept a fixed list of fields and dropped all others (HttpPayload, HttpEngineClient.send), which went well only because no class of the customers' sites is keyed. Over gRPC all metadata passed on already. Change: every field passes on, in its order, but the router's own and those of one connection (RFC 9110, 7.6.1). The new test fails without the change.

--- a/sorreldock/protocol/http/client.py
+++ b/sorreldock/protocol/http/client.py
@@ -172,6 +172,7 @@
                 (b"x-expires-in", b"%du" % max(int(progress.wait_s() * 1e6), 1)),
                 (b"content-type", payload.content_type),
                 (b"content-length", b"%d" % len(payload.body)),
+                *payload.other_fields,
             ],
         )
         await line.send(request, payload.body)
--- a/sorreldock/protocol/http/fields.py
+++ b/sorreldock/protocol/http/fields.py
@@ -28,6 +28,21 @@
 }
 
 
+# Of one connection alone (RFC 9110, section 7.6.1); fields that `connection` names are too.
+HOP_BY_HOP = {
+    b"connection",
+    b"keep-alive",
+    b"proxy-connection",
+    b"proxy-authenticate",
+    b"proxy-authorization",
+    b"te",
+    b"trailer",
+    b"transfer-encoding",
+    b"upgrade",
+    b"expect",
+}
+
+
 class BadRequest(ValueError):
     """A field is missing or invalid; the message names it."""
 
@@ -40,6 +55,7 @@
     trace_id: bytes
     content_type: bytes
     body: bytes
+    other_fields: tuple[tuple[bytes, bytes], ...] = ()  # that the router does not know, in their order
 
 
 def single(fields: Iterable[tuple[bytes, bytes]]) -> dict[bytes, bytes]:
@@ -57,6 +73,21 @@
     return headers
 
 
+def end_to_end(fields: Iterable[tuple[bytes, bytes]]) -> tuple[tuple[bytes, bytes], ...]:
+    """The fields that are neither the router's nor of one connection alone.
+
+    Clients and servers may agree on any, as on a key by which a server knows a repeat.
+    """
+    fields = list(fields)
+    named = {
+        token.strip().lower()
+        for name, value in fields
+        if name == b"connection"
+        for token in value.split(b",")
+    }
+    return tuple(field for field in fields if field[0] not in OWN | HOP_BY_HOP | named)
+
+
 def expires_in(text: str) -> float:
     match = EXPIRY.fullmatch(text)
     seconds = float(match[1]) * UNITS[match[2]] if match else 0.0
--- a/sorreldock/protocol/http/front.py
+++ b/sorreldock/protocol/http/front.py
@@ -13,7 +13,7 @@
 from .. import front as limits
 from ..front import Front
 from .arrivals import Arrivals
-from .fields import SERVED_PATH, BadRequest, HttpPayload, rpc_from, single
+from .fields import SERVED_PATH, BadRequest, HttpPayload, end_to_end, rpc_from, single
 
 LARGEST_HEAD = 16 * 1024
 # Bytes kept of requests that a client sends before it has been answered: one of the largest. Later ones are
@@ -275,7 +275,8 @@
         except BadRequest as error:
             raise Answered(400, str(error), (CLOSE,)) from None
         assert isinstance(rpc.payload, HttpPayload)
-        rpc.payload = replace(rpc.payload, body=await self.body(headers.get(b"content-length", b"0")))
+        body = await self.body(headers.get(b"content-length", b"0"))
+        rpc.payload = replace(rpc.payload, body=body, other_fields=end_to_end(request.headers))
         # One that waited behind another's answer: its client's clock ran meanwhile.
         arrived_at = self.arrivals.of_last_parsed(len(self.parser.trailing_data[0]))
         rpc.expires_in_s = max(rpc.expires_in_s - (trio.current_time() - arrived_at), LEAST_WAIT_S)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -62,6 +62,30 @@
     assert 1e6 < int(call.headers["x-expires-in"].removesuffix("u")) < 2e6
 
 
+@story
+async def test_fields_that_the_router_does_not_know_pass_on_and_those_of_one_connection_do_not() -> None:
+    engine = Engine()
+    async with among(engine) as router:
+        wire = await router.connect()
+        await wire.stream.send_all(
+            raw(
+                b"Idempotency-Key: k1",
+                b"X-Note: a",
+                b"X-Note: b",
+                b"Connection: keep-alive, X-Hop",
+                b"X-Hop: 1",
+                b"TE: trailers",
+            )
+        )
+        assert (await wire.next()).status_code == 200
+    [call] = engine.calls
+    names = [name for name, _ in call.head.headers]
+    assert call.headers["idempotency-key"] == "k1"
+    assert [value for name, value in call.head.headers if name == b"x-note"] == [b"a", b"b"]
+    assert not {b"x-hop", b"te", b"connection", b"x-qos"} & set(names)
+    assert names.count(b"host") == names.count(b"content-length") == names.count(b"x-trace-id") == 1
+
+
 @story
 async def test_events_pass_on_as_they_come() -> None:
     more = trio.Event()
