Rename router modules to the field's terms: admission, handover, early reload

Need: standard names in place of coined ones. Change: crowd to admission (leavers, spent, guests to evictable, patience_used, candidates), accord to handover, hangup to early_reload, extras to optional_commands, worlds to simulation_commands. No behaviour changes.

--- a/sorreldock/lab/world/script.py
+++ b/sorreldock/lab/world/script.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from ...transport.crowd import Stage
+from ...transport.admission import Stage
 from .lists import VirtualDiscovery
 from .network import Host
 from .scenario import ENGINE_FAULTS, FaultPlan, RequestPlan
--- a/sorreldock/program/cli.py
+++ b/sorreldock/program/cli.py
@@ -9,9 +9,9 @@
 import typer
 
 from .. import __version__
-from . import extras, hangup, start
+from . import early_reload, optional_commands, start
 from .config import Config, ConfigError, load
-from .worlds import add_to as add_worlds
+from .simulation_commands import add_to as add_worlds
 
 app = typer.Typer(
     add_completion=False, no_args_is_help=True, help="A request router for fleets of language-model servers."
@@ -34,7 +34,7 @@
 @app.command()
 def serve(operator: OperatorFile = None) -> None:
     """Route requests until SIGTERM, as the environment (RELAY_CONFIG and its kin) says."""
-    hangup.catch()
+    early_reload.catch()
     raise typer.Exit(start.serve(operator))
 
 
@@ -55,10 +55,10 @@
     )
 
 
-app.command()(extras.ask)
-app.command()(extras.demo)
-add_worlds(extras.lab)
-app.add_typer(extras.lab, name="lab")
+app.command()(optional_commands.ask)
+app.command()(optional_commands.demo)
+add_worlds(optional_commands.lab)
+app.add_typer(optional_commands.lab, name="lab")
 
 
 @app.command()
--- a/sorreldock/program/serve.py
+++ b/sorreldock/program/serve.py
@@ -20,7 +20,7 @@
 from ..transport.connection import dialler
 from ..transport.listener import Listener
 from ..transport.system import MACHINE, System
-from . import hangup
+from . import early_reload
 from .calls import Calls
 from .config import Config
 from .phases import Lifecycle, Phase
@@ -242,7 +242,7 @@
 
     async def _signals(self) -> None:
         with self.system.signals(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            if hangup.caught():
+            if early_reload.caught():
                 self.reload()
             async for number in signals:
                 if number == signal.SIGHUP:
@@ -294,4 +294,4 @@
     try:
         trio.run(main, clock=program.system.clock)
     finally:
-        hangup.ignore()
+        early_reload.ignore()
--- a/sorreldock/program/worlds.py
+++ b/sorreldock/program/simulation_commands.py
@@ -11,7 +11,7 @@
 
 import typer
 
-from .extras import AsJson, plainly
+from .optional_commands import AsJson, plainly
 
 NAMED = """
 Play seeded or written scenarios: the router's program on a virtual clock and an in-memory network, the rules
--- a/sorreldock/program/takeover.py
+++ b/sorreldock/program/takeover.py
@@ -19,8 +19,8 @@
 from ..transport.budget import Descriptors, Use
 from ..transport.connection import Connection
 from ..transport.listener import Listener
-from . import accord
-from .accord import Broken
+from . import handover
+from .handover import Broken
 
 NAME = "sorreldock-takeover.sock"
 ANSWER_S = 1.0  # for the predecessor's state: it is told to stop once this process says yes, within 6 s
@@ -38,7 +38,7 @@
     def __init__(self, sock: trio.socket.SocketType) -> None:
         self._sock = sock
         self._lock = trio.Lock()
-        self._records = accord.Records()
+        self._records = handover.Records()
         self._fds: deque[int] = deque()
         self._waiting: deque[dict[str, Any]] = deque()
         self.used = 0  # descriptors, as last told
@@ -53,7 +53,7 @@
     async def send(self, kind: str, descriptor: int | None = None, **values: Any) -> bool:
         """Write a record. What can't be written whole ends the link: the other side would lose its place."""
         try:
-            data = memoryview(accord.encode(kind, **values))
+            data = memoryview(handover.encode(kind, **values))
         except Broken:
             return False  # too long; nothing was written
         async with self._lock:
@@ -117,7 +117,7 @@
         self._core, self._resolver, self._budget = core, resolver, budget
         self._log, self._pid = log, pid
         self._in_company = in_company
-        self._notices = accord.Notices()
+        self._notices = handover.Notices()
         self._links: list[Link] = []
         self._successor: Link | None = None
         self._predecessor: Link | None = None
@@ -137,9 +137,9 @@
         with trio.move_on_after(ANSWER_S):
             try:
                 await link.connect(self._path)
-                await link.send("hello", version=accord.VERSION, pid=self._pid)
+                await link.send("hello", version=handover.VERSION, pid=self._pid)
                 record, _ = await link.receive()
-                why = accord.greeting_fault(record)
+                why = handover.greeting_fault(record)
                 if not why:
                     self._take(record)
                     self._predecessor = link
@@ -216,14 +216,14 @@
                 record, _ = await link.receive()
             if silence.cancelled_caught:
                 return
-            why = accord.greeting_fault(record)
+            why = handover.greeting_fault(record)
             if not why and (self._successor is not None or self._leaving):
                 why = "another process follows already" if self._successor is not None else "stopping"
             if why:
-                await link.send("fail", version=accord.VERSION, why=why)
+                await link.send("fail", version=handover.VERSION, why=why)
                 return
             listing = {**encode_result(self._core.listing()), "rev": self._resolver.version}
-            state: dict[str, Any] = {"version": accord.VERSION, "pid": self._pid, "list": listing}
+            state: dict[str, Any] = {"version": handover.VERSION, "pid": self._pid, "list": listing}
             self._successor = link
             if not await link.send("state", None, **state, learned=self._core.snapshot()):
                 await link.send("state", None, **state)  # more than a record may hold
@@ -286,7 +286,7 @@
             used, leave = sum(link.used for link in others), all(link.leaving for link in others)
             usable = self._budget.usable_with(len(others))
             mine = sum(self._budget.used.values())
-            portion = accord.portion(usable, mine, self._leaving, used, leave)
+            portion = handover.portion(usable, mine, self._leaving, used, leave)
             if self._leaving:  # what it has let go is the other one's
                 portion = self._least = min(portion, self._least)
             self._budget.share(portion, self._leaving)
@@ -316,7 +316,7 @@
         record, descriptor = await link.receive()
         match record["kind"]:
             case "tell":
-                link.used, link.out = accord.number(record, "used"), accord.counts(record, "out")
+                link.used, link.out = handover.number(record, "used"), handover.counts(record, "out")
                 link.leaving = record.get("leaving") is True
                 self._agree()
             case "news":
--- a/sorreldock/protocol/front.py
+++ b/sorreldock/protocol/front.py
@@ -10,9 +10,9 @@
 import trio
 
 from ..routing.types import Log, Router
+from ..transport.admission import EvictionQueue, Stage, evictable
 from ..transport.budget import Descriptors, Payloads, Use
 from ..transport.connection import Connection
-from ..transport.crowd import Queue, Stage, leavers
 
 LARGEST_BODY = 256 * 1024  # of a request, or of a message
 # What a client may take. A request that is cut short is told by the silence after it: a slow link delivers
@@ -76,7 +76,7 @@
         # Set once another process takes connections over that are between requests; tells whether it did.
         self.passed_on: Callable[[Connection], Awaitable[bool]] | None = None
         self._log = log
-        self.queue: Queue[C] = Queue()  # of those that may make room
+        self.queue: EvictionQueue[C] = EvictionQueue()  # of those that may make room
         self.shed: Counter[str] = Counter()  # connections that made room, by stage
         budget.evictors[Use.CLIENT].append(self.make_room)
 
@@ -115,7 +115,7 @@
 
     def make_room(self) -> bool:
         """Close a client connection for a newcomer, or some; tells whether there was one."""
-        shed = [c for c in self.queue.leavers(trio.current_time(), SHED_AT_ONCE) if not c.readable]
+        shed = [c for c in self.queue.evictable(trio.current_time(), SHED_AT_ONCE) if not c.readable]
         for client in shed:
             self.shed[client.stage.value] += 1
             client.make_room()
@@ -127,7 +127,7 @@
         """
         while not self.payloads.take(count):
             others = (c for c in self.clients if c.stage is Stage.HALF and c.held_bytes and c is not client)
-            stopped = leavers(others, trio.current_time(), 1)
+            stopped = evictable(others, trio.current_time(), 1)
             if not stopped or stopped[0].readable:
                 return False
             self.shed["payload"] += 1
--- a/sorreldock/protocol/http/front.py
+++ b/sorreldock/protocol/http/front.py
@@ -8,8 +8,8 @@
 import trio
 
 from ...routing.types import RPC, Final, NameTaken, Outcome, Overloaded, SinkClosed
+from ...transport.admission import Stage
 from ...transport.connection import Connection, ConnectionLost
-from ...transport.crowd import Stage
 from .. import front as limits
 from ..front import Front
 from .arrivals import Arrivals
--- a/sorreldock/protocol/kserve/front.py
+++ b/sorreldock/protocol/kserve/front.py
@@ -29,9 +29,9 @@
     trailers,
 )
 from ...routing.types import RPC, Cause, Final, Log, NameTaken, Outcome, Overloaded, Router, SinkClosed
+from ...transport.admission import Stage
 from ...transport.budget import Descriptors, Payloads
 from ...transport.connection import Connection, ConnectionLost
-from ...transport.crowd import Stage
 from .. import front as limits
 from ..front import Front
 from .grpc import ServerWire
--- a/sorreldock/transport/crowd.py
+++ b/sorreldock/transport/admission.py
@@ -1,4 +1,7 @@
-"""Who makes room when there are more clients than descriptors, without I/O or a clock of its own."""
+"""Connection admission: which client connections are closed when there are more clients than descriptors.
+
+Decisions alone, without I/O or a clock.
+"""
 
 from __future__ import annotations
 
@@ -27,7 +30,9 @@
 LEAST_S = 0.02  # so much everybody gets: what a newcomer has sent is read first
 
 
-class Guest(Protocol):
+class Candidate(Protocol):
+    """A client connection that may be closed for a newcomer."""
+
     @property
     def stage(self) -> Stage: ...
 
@@ -36,28 +41,31 @@
         """When the stage began; of a part, when its last byte came."""
 
 
-G = TypeVar("G", bound=Guest)
+G = TypeVar("G", bound=Candidate)
 
 
-def spent(guest: Guest, now: float) -> float:
+def patience_used(candidate: Candidate, now: float) -> float:
     """The part of its patience that a client has used up; 0 for one that never makes room."""
-    if guest.stage is Stage.TAKEN or now - guest.since < LEAST_S:
+    if candidate.stage is Stage.TAKEN or now - candidate.since < LEAST_S:
         return 0.0
-    part = (now - guest.since) / PATIENCE_S[guest.stage]
-    return part**HALF_POWER if guest.stage is Stage.HALF else part
+    part = (now - candidate.since) / PATIENCE_S[candidate.stage]
+    return part**HALF_POWER if candidate.stage is Stage.HALF else part
+
 
+def evictable(candidates: Iterable[G], now: float, most: int) -> list[G]:
+    """Return the connections to close, at most so many: the first in rank, and all whose patience is used up.
 
-def leavers(guests: Iterable[G], now: float, most: int) -> list[G]:
-    """Who goes, the first one first: one, and with it those whose patience is used up. Guards newcomers
-    against connections that are opened in thousands and then idle or stop half way; a taken request never
-    goes.
+    Protects newcomers from connections that are opened in thousands and then idle or stop half way. Connections
+    on which a whole request was taken are never closed.
     """
-    ranked = [(spent(guest, now), -number, guest) for number, guest in enumerate(guests)]
+    ranked = [
+        (patience_used(candidate, now), -number, candidate) for number, candidate in enumerate(candidates)
+    ]
     first = heapq.nlargest(most, (item for item in ranked if item[0] > 0.0), key=lambda item: item[:2])
-    return [guest for place, (part, _, guest) in enumerate(first) if place == 0 or part >= 1.0]
+    return [candidate for place, (part, _, candidate) in enumerate(first) if place == 0 or part >= 1.0]
 
 
-class Queue(Generic[G]):
+class EvictionQueue(Generic[G]):
     """The clients that may make room, each stage in the order in which they entered it.
 
     Within a stage whoever entered first has used up most of its patience, so a look at the first few of each
@@ -67,16 +75,17 @@
     def __init__(self) -> None:
         self._stages: dict[Stage, dict[G, None]] = {stage: {} for stage in PATIENCE_S}
 
-    def enter(self, guest: G) -> None:
+    def enter(self, candidate: G) -> None:
         """Put a client whose stage has begun, or whose part has gone on, at the end of its stage."""
-        self.leave(guest)
-        if guest.stage in self._stages:
-            self._stages[guest.stage][guest] = None
+        self.leave(candidate)
+        if candidate.stage in self._stages:
+            self._stages[candidate.stage][candidate] = None
 
-    def leave(self, guest: G) -> None:
+    def leave(self, candidate: G) -> None:
+        """Take out a client that has gone or must not be closed."""
         for stage in self._stages.values():
-            stage.pop(guest, None)
+            stage.pop(candidate, None)
 
-    def leavers(self, now: float, most: int) -> list[G]:
-        """What `leavers` tells of all of them."""
-        return leavers((g for stage in self._stages.values() for g in islice(stage, most)), now, most)
+    def evictable(self, now: float, most: int) -> list[G]:
+        """Return what `evictable` returns for all of them."""
+        return evictable((g for stage in self._stages.values() for g in islice(stage, most)), now, most)
--- a/tests/test_crowd.py
+++ b/tests/test_admission.py
@@ -11,60 +11,72 @@
 from peers import EVENTS, Engine, Router, Wire, among, answer, serve_until, story, streaming
 from test_bad_days import raw
 
-from sorreldock.transport import crowd
+from sorreldock.transport import admission
+from sorreldock.transport.admission import PATIENCE_S, EvictionQueue, Stage, evictable, patience_used
 from sorreldock.transport.budget import Use
-from sorreldock.transport.crowd import PATIENCE_S, Queue, Stage, leavers, spent
 
 
 @dataclass(frozen=True)
-class Guest:
+class Candidate:
     stage: Stage
     since: float
 
 
-GUESTS = st.lists(st.builds(Guest, st.sampled_from(Stage), st.floats(0.0, 10.0)), max_size=30)
+CANDIDATES = st.lists(st.builds(Candidate, st.sampled_from(Stage), st.floats(0.0, 10.0)), max_size=30)
 
 
-@given(GUESTS, st.integers(1, 8))
-def test_no_taken_request_goes_and_the_first_to_go_has_used_up_most(guests: list[Guest], most: int) -> None:
+@given(CANDIDATES, st.integers(1, 8))
+def test_no_taken_request_goes_and_the_first_to_go_has_used_up_most(
+    candidates: list[Candidate], most: int
+) -> None:
     now = 10.0
-    going = leavers(guests, now, most)
-    others = [g for g in guests if g.stage is not Stage.TAKEN and now - g.since >= crowd.LEAST_S]
+    going = evictable(candidates, now, most)
+    others = [g for g in candidates if g.stage is not Stage.TAKEN and now - g.since >= admission.LEAST_S]
     assert len(going) <= most and bool(going) == bool(others)
     assert all(g in others for g in going)
-    parts = [spent(g, now) for g in going]
+    parts = [patience_used(g, now) for g in going]
     assert parts == sorted(parts, reverse=True) and all(part >= 1.0 for part in parts[1:])
     if going:
-        assert parts[0] == max(spent(g, now) for g in others)
+        assert parts[0] == max(patience_used(g, now) for g in others)
 
 
-@given(GUESTS, st.integers(1, 8), st.data())
+@given(CANDIDATES, st.integers(1, 8), st.data())
 def test_the_queue_tells_the_same_as_a_look_at_all(
-    guests: list[Guest], most: int, data: st.DataObject
+    candidates: list[Candidate], most: int, data: st.DataObject
 ) -> None:
-    queue: Queue[Guest] = Queue()
-    here = list(dict.fromkeys(sorted(guests, key=lambda guest: guest.since)))
-    for guest in here:
-        queue.enter(guest)
-    for guest in data.draw(st.lists(st.sampled_from(here), unique=True)) if here else []:
-        queue.leave(guest)
-        here.remove(guest)
-    told = [spent(guest, 10.0) for guest in queue.leavers(10.0, most)]
-    assert told == [spent(guest, 10.0) for guest in leavers(here, 10.0, most)]
+    queue: EvictionQueue[Candidate] = EvictionQueue()
+    here = list(dict.fromkeys(sorted(candidates, key=lambda candidate: candidate.since)))
+    for candidate in here:
+        queue.enter(candidate)
+    for candidate in data.draw(st.lists(st.sampled_from(here), unique=True)) if here else []:
+        queue.leave(candidate)
+        here.remove(candidate)
+    told = [patience_used(candidate, 10.0) for candidate in queue.evictable(10.0, most)]
+    assert told == [patience_used(candidate, 10.0) for candidate in evictable(here, 10.0, most)]
 
 
 def test_who_goes_before_whom() -> None:
     now = 100.0
-    slow, silent = Guest(Stage.HALF, now - 1.0), Guest(Stage.SILENT, now - 0.4)
-    idle = Guest(Stage.IDLE, now - 1)
-    stopped, fresh, taken = Guest(Stage.HALF, now - 3), Guest(Stage.SILENT, now), Guest(Stage.TAKEN, now - 9)
-    guests = [taken, fresh, slow, silent, idle, stopped]
-    assert spent(slow, now) < spent(Guest(Stage.IDLE, now - 0.1), now)  # nothing is lost with the idle one
-    assert spent(Guest(Stage.HALF, now - PATIENCE_S[Stage.HALF] + 0.01), now) < 1.0 < spent(stopped, now)
+    slow, silent = Candidate(Stage.HALF, now - 1.0), Candidate(Stage.SILENT, now - 0.4)
+    idle = Candidate(Stage.IDLE, now - 1)
+    stopped, fresh, taken = (
+        Candidate(Stage.HALF, now - 3),
+        Candidate(Stage.SILENT, now),
+        Candidate(Stage.TAKEN, now - 9),
+    )
+    candidates = [taken, fresh, slow, silent, idle, stopped]
+    assert patience_used(slow, now) < patience_used(
+        Candidate(Stage.IDLE, now - 0.1), now
+    )  # nothing is lost with the idle one
+    assert (
+        patience_used(Candidate(Stage.HALF, now - PATIENCE_S[Stage.HALF] + 0.01), now)
+        < 1.0
+        < patience_used(stopped, now)
+    )
     order = []
-    while gone := leavers(guests, now, 1):
+    while gone := evictable(candidates, now, 1):
         order += gone
-        guests.remove(gone[0])
+        candidates.remove(gone[0])
     assert order == [stopped, silent, idle, slow]
 
 
@@ -118,7 +130,7 @@
         stopped = await half_sent(router, head + b"\r\n\r\n" + b"x" * 59_000)
         while payloads.used < 59_000:
             await trio.sleep(0.005)
-        await trio.sleep(2 * crowd.LEAST_S)  # a part of the patience that it may use up
+        await trio.sleep(2 * admission.LEAST_S)  # a part of the patience that it may use up
         large = await router.post(b"y" * 70_000, x_trace_id="large")
         assert large.whole and payloads.used <= 100_000
         assert await stopped.stream.receive_some(1) == b""
--- a/tests/test_bad_days.py
+++ b/tests/test_bad_days.py
@@ -17,7 +17,7 @@
 from sorreldock.protocol import engine as engine_client
 from sorreldock.protocol import front as limits
 from sorreldock.protocol.http.client import Events
-from sorreldock.transport import crowd
+from sorreldock.transport import admission
 from sorreldock.transport.budget import Use
 
 HEAD = request("POST", "/v1/chat/completions", b"", FIELDS)
@@ -142,7 +142,7 @@
 
 @story
 async def test_silent_clients_make_room_before_usual_ones(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(crowd, "LEAST_S", 0.0)
+    monkeypatch.setattr(admission, "LEAST_S", 0.0)
     async with among(Engine()) as router:
         usual = await router.connect()
         await usual.stream.send_all(raw())
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -19,8 +19,8 @@
 from sorreldock.kserve.framing import Farewell, Farewells
 from sorreldock.program.serve import most_open, payload_bytes
 from sorreldock.protocol.loads import parse_load
+from sorreldock.transport.admission import Stage
 from sorreldock.transport.budget import Descriptors, Use
-from sorreldock.transport.crowd import Stage
 from sorreldock.transport.ring import Ring
 from sorreldock.wire import decode_settings
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -21,7 +21,7 @@
 from test_program import ROOT, until, written
 
 from sorreldock.interface import ListKind, ReplicaState
-from sorreldock.program import accord
+from sorreldock.program import handover
 from sorreldock.program.takeover import NAME, Link, Takeover
 from sorreldock.routing.types import ResolverResult, Target
 from sorreldock.transport.budget import Descriptors, Use
@@ -142,7 +142,7 @@
             sock, _ = await listener.accept()
             await sock.recv(4096)
             if kind == "another version":
-                await sock.send(accord.encode("state", version=accord.VERSION + 1))
+                await sock.send(handover.encode("state", version=handover.VERSION + 1))
             elif kind == "noise":
                 await sock.send(b"HTTP/1.1 400 Bad Request\r\n\r\n")
             await trio.sleep_forever()
@@ -165,34 +165,37 @@
 
 
 def test_records_come_whole_and_nothing_else_passes() -> None:
-    sent = accord.encode("tell", used=3) + accord.encode("news", list={})
-    records = accord.Records()
+    sent = handover.encode("tell", used=3) + handover.encode("news", list={})
+    records = handover.Records()
     found = [record["kind"] for byte in sent for record in records.feed(bytes([byte]))]
     assert found == ["tell", "news"]
     feeds = (b"\xff\xff\xff\xff", b"\x00\x00\x00\x02[]", b"\x00\x00\x00\x01{", b"\x00\x00\x00\x02{}")
-    calls = [partial(accord.Records().feed, data) for data in feeds]
-    calls += [partial(accord.number, {"used": value}, "used") for value in (-1, True, "3", None)]
-    calls += [partial(accord.counts, {"out": value}, "out") for value in ({"x": 1}, {"1": "x"}, [])]
-    calls += [partial(accord.number, {}, "used"), partial(accord.encode, "state", text="x" * accord.LONGEST)]
+    calls = [partial(handover.Records().feed, data) for data in feeds]
+    calls += [partial(handover.number, {"used": value}, "used") for value in (-1, True, "3", None)]
+    calls += [partial(handover.counts, {"out": value}, "out") for value in ({"x": 1}, {"1": "x"}, [])]
+    calls += [
+        partial(handover.number, {}, "used"),
+        partial(handover.encode, "state", text="x" * handover.LONGEST),
+    ]
     for broken in calls:
-        with pytest.raises(accord.Broken):
+        with pytest.raises(handover.Broken):
             broken()
 
 
 def test_two_processes_never_hold_more_descriptors_than_one_may() -> None:
     usable = 300
-    assert accord.portion(usable, 280, False, 0, False) == 150  # of the old one, which holds 280
+    assert handover.portion(usable, 280, False, 0, False) == 150  # of the old one, which holds 280
     for held, new_may in ((280, 20), (150, 150)):  # before it has let go, and then
-        assert accord.portion(usable, 0, False, held, False) == new_may
+        assert handover.portion(usable, 0, False, held, False) == new_may
     for held in (150, 90, 10, 0):  # the old one leaves, and what it lets go is the new one's
-        leaves = accord.portion(usable, held, True, 150, False)
-        assert leaves + accord.portion(usable, 0, False, held, True) <= usable
-    assert accord.portion(usable, 0, False, 0, True) == usable - accord.LEAVERS_PART
+        leaves = handover.portion(usable, held, True, 150, False)
+        assert leaves + handover.portion(usable, 0, False, held, True) <= usable
+    assert handover.portion(usable, 0, False, 0, True) == usable - handover.LEAVERS_PART
     budget = Descriptors(364)
     assert all(budget.take(use) for use in (Use.CLIENT, Use.ENGINE) for _ in range(40))
-    budget.share(accord.portion(usable, 80, True, 0, False), leaving=True)
+    budget.share(handover.portion(usable, 80, True, 0, False), leaving=True)
     assert not budget.take(Use.CLIENT)  # nobody new, but attempts of what it has taken
-    assert sum(budget.take(Use.ENGINE) for _ in range(100)) == accord.LEAVERS_PART
+    assert sum(budget.take(Use.ENGINE) for _ in range(100)) == handover.LEAVERS_PART
 
 
 def target(state: ReplicaState, started_at: float = 0.0, uid: str = "e1") -> Target:
@@ -237,7 +240,7 @@
 
 
 def test_a_drain_notice_holds_for_the_process_whose_own_list_is_behind() -> None:
-    notices = accord.Notices()
+    notices = handover.Notices()
     draining = ResolverResult(ListKind.DELTA, (target(ReplicaState.DRAINING),), 7)
     assert notices.news(draining) == draining.targets
     notices.heard(draining)
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -28,7 +28,7 @@
 from sorreldock.lab.world.scenario import CLIENTS, FAULTS, Scenario, draw, dump, load
 from sorreldock.lab.world.seam import BehindTheSeam, Guard, seeded, world_clock
 from sorreldock.lab.world.shrink import breaks, shrink
-from sorreldock.program import worlds
+from sorreldock.program import simulation_commands
 from sorreldock.program.serve import Program
 from sorreldock.protocol import front as limits
 from sorreldock.protocol.kserve import front as kserve_front
@@ -519,7 +519,7 @@
         kinds |= {f.kind for f in scenario.faults}
         clients |= {p.client for p in scenario.requests}
     assert kinds == set(FAULTS) and clients == set(CLIENTS)
-    assert all(name in worlds.NAMED for name in [*FAULTS, *CLIENTS])
+    assert all(name in simulation_commands.NAMED for name in [*FAULTS, *CLIENTS])
 
 
 @pytest.mark.parametrize(
