Keep every drain notice for the other process of a router, not the last 64 lists

Cause: a link to the other process kept 64 lists of engines' ends that it had not told yet and dropped the oldest (Link.news), so a drain notice could be lost with many lists in a moment. Change: what is not told yet is kept by engine, with its list's version.

--- a/sorreldock/program/takeover.py
+++ b/sorreldock/program/takeover.py
@@ -7,6 +7,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from itertools import groupby
 from typing import Any
 
 import trio
@@ -15,7 +16,7 @@
 from ..protocol.front import Front
 from ..protocol.http.discovery import ListError, Resolver, decode_result, encode_result
 from ..routing.core import Core
-from ..routing.types import Log, ResolverResult
+from ..routing.types import Log, ResolverResult, Target
 from ..transport.budget import Descriptors, Use
 from ..transport.connection import Connection
 from ..transport.listener import Listener
@@ -28,7 +29,6 @@
 TELL_S = 0.2
 MOST_CALLERS = 2
 MOST_FDS = 32  # in one read
-MOST_NEWS = 64  # lists whose ends of engines wait to be told
 NUMBER = array.array("i").itemsize
 
 
@@ -44,7 +44,8 @@
         self.used = 0  # descriptors, as last told
         self.leaving = False
         self.out: dict[int, int] = {}
-        self.news: deque[ResolverResult] = deque(maxlen=MOST_NEWS)  # not yet told on this link
+        # Ends of engines that are not told on this link yet, by uid: one an engine, so none is ever dropped.
+        self.news: dict[str, tuple[int, Target]] = {}
         self.wake = trio.Event()
 
     async def connect(self, path: str) -> None:
@@ -261,7 +262,7 @@
         held = self._notices.held(result)
         ends = self._notices.news(held)
         for link in self._links if ends else ():
-            link.news.append(ResolverResult(ListKind.DELTA, ends, held.version))
+            link.news |= {target.uid: (held.version, target) for target in ends}
             link.wake.set()
         return held
 
@@ -332,8 +333,10 @@
     async def _tell(self, link: Link) -> None:
         while True:
             link.wake = trio.Event()
-            while link.news:
-                await link.send("news", list=encode_result(link.news.popleft()))
+            news, link.news = sorted(link.news.values(), key=lambda told: told[0]), {}
+            for version, told in groupby(news, key=lambda told: told[0]):
+                ends = ResolverResult(ListKind.DELTA, tuple(target for _, target in told), version)
+                await link.send("news", list=encode_result(ends))
             self._agree()
             out = {str(replica): count for replica, count in self._core.out().items()}
             used = sum(self._budget.used.values())
--- a/sorreldock/transport/admission.py
+++ b/sorreldock/transport/admission.py
@@ -55,8 +55,8 @@
 def evictable(candidates: Iterable[G], now: float, most: int) -> list[G]:
     """Return the connections to close, at most so many: the first in rank, and all whose patience is used up.
 
-    Protects newcomers from connections that are opened in thousands and then idle or stop half way. Connections
-    on which a whole request was taken are never closed.
+    Protects newcomers from connections that are opened in thousands and then idle or stop half way. Those on
+    which a whole request was taken are never closed.
     """
     ranked = [
         (patience_used(candidate, now), -number, candidate) for number, candidate in enumerate(candidates)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -230,10 +230,10 @@
                 link = Link(end)
                 made[one]._add(link)
                 nursery.start_soon(made[one]._converse, link, None)
-        for uid in ("e1", "e2"):  # both before anybody could be told
-            made[1].took(ResolverResult(ListKind.DELTA, (target(ReplicaState.DRAINING, uid=uid),), 7))
-        both = {"e1", "e2"}
-        while [core.uids for core in cores] != [both, set(), both] or cores[1].counts != {7: 4}:
+        ended = {f"e{number}" for number in range(1024)}  # each in a list of its own, before anybody is told
+        for version, uid in enumerate(sorted(ended), start=7):
+            made[1].took(ResolverResult(ListKind.DELTA, (target(ReplicaState.DRAINING, uid=uid),), version))
+        while [core.uids for core in cores] != [ended, set(), ended] or cores[1].counts != {7: 4}:
             await trio.sleep(0.005)
         nursery.cancel_scope.cancel()
     assert cores[1].uids == set() and cores[1].counts == {}  # alone again: nothing is out elsewhere
