Split the gRPC front into connection, call and metadata

Change: the connection's actor, a call's stream and the metadata have modules of their own; building an RPC from metadata is a function of the call's head. Tests name the new places. No behaviour changes.

--- a/sorreldock/protocol/kserve/client.py
+++ b/sorreldock/protocol/kserve/client.py
@@ -33,8 +33,8 @@
 from .. import engine
 from ..engine import NeverTaken, PooledEngineClient, ProtocolFault
 from ..loads import HEADER, parse_load
-from .front import HOP, KservePayload
 from .grpc import H2Wire
+from .metadata import HOP, KservePayload
 
 LOAD = HEADER.lower()
 # The request is at fault, not the engine: another would say the same, so the client gets this word as it is.
--- a/tests/test_kserve.py
+++ b/tests/test_kserve.py
@@ -16,7 +16,7 @@
 from sorreldock.kserve.framing import Code
 from sorreldock.program.phases import Phase
 from sorreldock.protocol import engine as engine_client
-from sorreldock.protocol.kserve import front as kserve_front
+from sorreldock.protocol.kserve import connection as kserve_connection
 from sorreldock.protocol.kserve.grpc import ServerWire
 from sorreldock.transport.connection import Connection
 
@@ -290,7 +290,7 @@
 
 @story
 async def test_a_client_that_answers_no_ping_is_let_go(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(kserve_front, "PING_S", 0.05)
+    monkeypatch.setattr(kserve_connection, "PING_S", 0.05)
     operator = BOTH.__class__(
         kserve=BOTH.kserve.__class__("127.0.0.1:0", ("desc",), "", "", 0.05),  # type: ignore[union-attr]
         engine_protocols=("http", "kserve"),
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -31,7 +31,7 @@
 from sorreldock.program import simulation_commands
 from sorreldock.program.serve import Program
 from sorreldock.protocol import front as limits
-from sorreldock.protocol.kserve import front as kserve_front
+from sorreldock.protocol.kserve import connection as kserve_connection
 from sorreldock.protocol.kserve.client import Exchange
 from sorreldock.routing.core import Core
 from sorreldock.routing.subchannel import Subchannel
@@ -404,7 +404,7 @@
             await trio.sleep(0.01)
 
 
-async def greets_as_ever(self: kserve_front.ClientConnection) -> None:
+async def greets_as_ever(self: kserve_connection.ClientConnection) -> None:
     await trio.sleep(limits.HEAD_S)
     if not self.spoken:
         self.scope.cancel()
@@ -416,9 +416,9 @@
     "half-written-drain": (Subchannel, "_stop_writing", lambda self: trio.lowlevel.checkpoint(), "drain"),
     "idle-at-the-end": (Subchannel, "run", Subchannel._obey, "leak"),
     "left-before-sent": (Core, "_too_late", lambda self, request, replica: None, "leak"),
-    "reset-after-goaway": (kserve_front, "suppress", lambda *errors: nullcontext(), "whole"),
+    "reset-after-goaway": (kserve_connection, "suppress", lambda *errors: nullcontext(), "whole"),
     "whole-before-close": (Exchange, "step", steps_and_fails, "whole"),
-    "call-to-a-drained-router": (kserve_front.ClientConnection, "greeted", greets_as_ever, "rest"),
+    "call-to-a-drained-router": (kserve_connection.ClientConnection, "greeted", greets_as_ever, "rest"),
     "taken-while-closing": (Program, "_answer_all", begins_anew, "whole"),
 }
 
