--- a/sorreldock/client/command.py
+++ b/sorreldock/client/command.py
@@ -22,6 +22,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Ask:
+    """The words of an `ask` command line."""
+
     routers: list[str]
     request: Request
     settings: ClientSettings
--- a/sorreldock/client/http.py
+++ b/sorreldock/client/http.py
@@ -61,6 +61,8 @@
 
 
 class HttpLine(Line):
+    """A connection to a router that speaks the platform's HTTP/1.1."""
+
     def __init__(self, router: str, socket: Socket, now: float, largest_event: int) -> None:
         super().__init__(router, socket, now)
         self.parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=64 * 1024)
@@ -114,6 +116,8 @@
 
 
 class HttpExchange(Exchange):
+    """One request and its answer on an HTTP/1.1 connection."""
+
     def __init__(self, line: HttpLine, request: Request, body: bytes, mark: Mark) -> None:
         self.line = line
         self._request, self._body, self._mark = request, body, mark
--- a/sorreldock/client/kserve.py
+++ b/sorreldock/client/kserve.py
@@ -232,6 +232,8 @@
 
 
 class KserveExchange(Exchange):
+    """One call on a gRPC connection."""
+
     def __init__(self, line: KserveLine, request: Request, body: bytes, mark: Mark) -> None:
         self.line = line
         self._request, self._mark = request, mark
--- a/sorreldock/client/policy/outcome.py
+++ b/sorreldock/client/policy/outcome.py
@@ -18,6 +18,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
+    """What became of one attempt."""
+
     kind: Kind
     cause: str
     advice_s: float | None = None  # the router's: come again in so many seconds
--- a/sorreldock/client/policy/picker.py
+++ b/sorreldock/client/policy/picker.py
@@ -25,6 +25,8 @@
 
 @dataclass(frozen=True, slots=True)
 class PickRules:
+    """Limits for choosing and ejecting routers."""
+
     subset: int = 8
     eject_after: int = 2  # failures in a row
     eject_s: float = 1.0  # doubles with each ejection
@@ -70,6 +72,8 @@
 
 
 class Picker:
+    """Chooses the router for each attempt."""
+
     def __init__(self, client: str, endpoints: Iterable[Endpoint], rules: PickRules, zone: str = "") -> None:
         self.client, self.rules, self.zone = client, rules, zone
         self.routers: dict[str, Router] = {}
--- a/sorreldock/client/policy/reconnect.py
+++ b/sorreldock/client/policy/reconnect.py
@@ -17,6 +17,8 @@
 
 @dataclass(frozen=True, slots=True)
 class ReconnectRules:
+    """Delays and rates of reconnection."""
+
     base_s: float = 0.05  # the least delay of a turn
     first_window_s: float = 5.0  # the first turn after a loss lies within this
     widen: float = 1.25  # with each dial that fails
--- a/sorreldock/client/policy/retry.py
+++ b/sorreldock/client/policy/retry.py
@@ -54,6 +54,8 @@
 
 
 class Then(Enum):
+    """What follows an attempt."""
+
     GIVE_UP = "give up"
     RETRY = "retry"  # marked, counted, a token of the budget
     RESEND = "resend"  # on another connection: no router has read it
@@ -61,6 +63,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Decision:
+    """What follows an attempt, and after which pause."""
+
     then: Then
     at: float = 0.0  # not before this moment
     why: str = ""
@@ -68,6 +72,8 @@
 
 @dataclass(frozen=True, slots=True)
 class RetryRules:
+    """Limits for retries."""
+
     max_retries: int = 1
     safe_classes: Collection[str] = ()
     pause_s: float = 0.25  # after a refusal without advice, or a failure: this, and up to twice as long again
--- a/sorreldock/interface.py
+++ b/sorreldock/interface.py
@@ -63,6 +63,8 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestClass:
+    """A class of requests, as the settings describe it."""
+
     name: str
     aim_s: float
     deadline_s: float
@@ -78,6 +80,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Tenant:
+    """A tenant and its share of the traffic."""
+
     name: str
     quota_per_s: float
     share: float
@@ -85,6 +89,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
+    """What the settings allow a gateway to do."""
+
     max_attempts: int = 1
     cancel: bool = False
     parallel_attempts: bool = False
@@ -126,6 +132,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
+    """Everything that a gateway is told about its deployment at its start."""
+
     zone: str
     zones: tuple[str, ...]
     gateway: int
@@ -144,12 +152,16 @@
 
 
 class ReplicaState(Enum):
+    """The state of a replica in the list."""
+
     READY = "ready"
     DRAINING = "draining"
     GONE = "gone"
 
 
 class ListKind(Enum):
+    """How a list relates to what is known."""
+
     DELTA = "delta"
     FULL = "full"
     CACHED = "cached"
@@ -171,6 +183,8 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplicaEntry:
+    """One replica as the list describes it."""
+
     replica: int
     zone: str
     cell: int = 0
@@ -182,6 +196,8 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplicaList:
+    """A list of replicas, or a change to it."""
+
     kind: ListKind
     entries: tuple[ReplicaEntry, ...] = ()
     version: int = 0
@@ -189,6 +205,8 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestArrived:
+    """A client's request has arrived."""
+
     request: str
     request_class: str
     expires_at: float
@@ -205,6 +223,8 @@
 
 @dataclass(frozen=True, slots=True)
 class FirstToken:
+    """The first token of an attempt's answer has arrived."""
+
     request: str
     attempt: int
     replica: int
@@ -213,6 +233,8 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
+    """An attempt has ended."""
+
     request: str
     attempt: int
     replica: int
@@ -225,11 +247,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ClientGone:
+    """The client of a request has left."""
+
     request: str
 
 
 @dataclass(frozen=True, slots=True)
 class ProbeEnded:
+    """A probe has ended."""
+
     replica: int
     status: Status
     latency_s: float
@@ -238,12 +264,16 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerMessage:
+    """Another gateway has sent a message."""
+
     sender: int
     payload: bytes
 
 
 @dataclass(frozen=True, slots=True)
 class TimerFired:
+    """A timer that was set has run out."""
+
     token: str
 
 
@@ -277,6 +307,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
+    """Begin an attempt."""
+
     request: str
     replica: int
     timeout_s: float = 0.0
@@ -284,41 +316,53 @@
 
 @dataclass(frozen=True, slots=True)
 class Cancel:
+    """Give up an attempt."""
+
     request: str
     attempt: int
 
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
+    """Refuse a request; trying again is harmless."""
+
     request: str
     retry_after_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class Fail:
+    """Fail a request."""
+
     request: str
 
 
 @dataclass(frozen=True, slots=True)
 class SetTimer:
+    """Ask for a `TimerFired` event."""
+
     delay_s: float
     token: str
 
 
 @dataclass(frozen=True, slots=True)
 class Probe:
+    """Ask a replica for its health and load."""
+
     replica: int
 
 
 @dataclass(frozen=True, slots=True)
 class TellPeers:
+    """Send a message to other gateways."""
+
     payload: bytes
     peer: int | None = field(default=None)
 
 
 @dataclass(frozen=True, slots=True)
 class Subscribe:
-    pass
+    """Ask discovery for changes from now on."""
 
 
 Action = Send | Cancel | Refuse | Fail | SetTimer | Probe | TellPeers | Subscribe
--- a/sorreldock/kserve/framing.py
+++ b/sorreldock/kserve/framing.py
@@ -19,6 +19,8 @@
 
 
 class Code(IntEnum):
+    """Status codes of gRPC."""
+
     OK = 0
     CANCELLED = 1
     UNKNOWN = 2
--- a/sorreldock/lab/engine.py
+++ b/sorreldock/lab/engine.py
@@ -33,6 +33,8 @@
 
 
 class Verdict(Enum):
+    """How an engine takes a request."""
+
     TAKEN = "taken"
     FULL = "queue full"
     DRAINING = "draining"
@@ -64,6 +66,8 @@
 
 @dataclass(slots=True)
 class Load:
+    """The load that an engine reports."""
+
     inflight: int = 0
     queue: int = 0
     util: float = 0.0
@@ -76,6 +80,8 @@
 
 @dataclass
 class Engine:
+    """A model of an engine that batches requests."""
+
     settings: EngineSettings
     started_at: float = -math.inf  # long ago: warm
     draining: bool = False
--- a/sorreldock/lab/plain.py
+++ b/sorreldock/lab/plain.py
@@ -16,6 +16,8 @@
 
 @dataclass
 class PlainClient:
+    """A client that reconnects at once, for comparison."""
+
     routers: list[str]
     observe: Callable[[str, str, float], None]
     first_sends: int = 0
--- a/sorreldock/lab/serving/grpc.py
+++ b/sorreldock/lab/serving/grpc.py
@@ -22,6 +22,8 @@
 
 
 class Call:
+    """One call at an emulated engine."""
+
     def __init__(self, number: int, headers: dict[str, str]) -> None:
         self.number, self.headers = number, headers
         self.unframer = Unframer(LARGEST_MESSAGE)
@@ -30,6 +32,8 @@
 
 
 class GrpcConnection:
+    """A connection to an emulated engine that speaks gRPC."""
+
     def __init__(self, host: EngineHost, stream: trio.abc.Stream) -> None:
         self.host, self.stream = host, stream
         self.h2 = h2.connection.H2Connection(
--- a/sorreldock/lab/serving/host.py
+++ b/sorreldock/lab/serving/host.py
@@ -75,6 +75,8 @@
 
 
 class EngineHost:
+    """Runs an engine's model in real time."""
+
     def __init__(self, settings: EngineSettings, ledger: Ledger, started_at: float = -math.inf) -> None:
         self.settings = settings
         self.model = Engine(settings, started_at)
--- a/sorreldock/lab/settings.py
+++ b/sorreldock/lab/settings.py
@@ -48,6 +48,8 @@
 
 
 class ClassSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A request class of a fleet's TOML."""
+
     name: Name
     aim_s: Positive
     deadline_s: Positive
@@ -55,12 +57,16 @@
 
 
 class TenantSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A tenant of a fleet's TOML."""
+
     name: Name
     share: Share
     quota_rps: Positive = 1000.0
 
 
 class DiscoverySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """The discovery of a fleet's TOML."""
+
     late_s: NotNegative = 0.0  # what changes is told so much later
     keep_alive_s: Positive = 2.0  # an empty line on a quiet watch
 
@@ -75,6 +81,8 @@
 
 
 class FleetSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A whole fleet's TOML."""
+
     name: Name
     zones: Annotated[list[Name], msgspec.Meta(min_length=1)]
     engines: Annotated[list[EngineSettings], msgspec.Meta(min_length=1)]
--- a/sorreldock/lab/simulation/engines.py
+++ b/sorreldock/lab/simulation/engines.py
@@ -47,6 +47,8 @@
 
 
 class VirtualEngine:
+    """An engine on the virtual network."""
+
     def __init__(
         self, judge: Judge, host: Host, uid: str, settings: EngineSettings, started_at: float
     ) -> None:
@@ -200,6 +202,8 @@
 
 
 class HttpSide:
+    """The HTTP/1.1 side of a virtual engine."""
+
     def __init__(self, engine: VirtualEngine, sock: VirtualSocket) -> None:
         self.engine, self.sock = engine, sock
 
@@ -301,6 +305,8 @@
 
 
 class GrpcSide:
+    """The gRPC side of a virtual engine."""
+
     def __init__(self, engine: VirtualEngine, sock: VirtualSocket) -> None:
         self.engine, self.sock = engine, sock
         self.writer = Writer()
--- a/sorreldock/lab/simulation/explore.py
+++ b/sorreldock/lab/simulation/explore.py
@@ -39,6 +39,8 @@
 
 @dataclass
 class Report:
+    """What many scenarios came to."""
+
     wall_s: float = 0.0
     results: dict[int, Explored] = field(default_factory=dict)
 
--- a/sorreldock/lab/simulation/invariants.py
+++ b/sorreldock/lab/simulation/invariants.py
@@ -43,6 +43,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Violation:
+    """A rule seen broken, and where."""
+
     rule: str
     at_s: float
     text: str
@@ -94,6 +96,8 @@
 
 
 class Judge:
+    """Checks the rules against what is seen on the wires."""
+
     def __init__(self, network: Network) -> None:
         self.network = network
         self.violations: list[Violation] = []
--- a/sorreldock/lab/simulation/lists.py
+++ b/sorreldock/lab/simulation/lists.py
@@ -15,6 +15,8 @@
 
 
 class VirtualDiscovery:
+    """Discovery on the virtual network."""
+
     def __init__(self, host: Host) -> None:
         self.host = host
         self.directory = Directory()
--- a/sorreldock/lab/simulation/mutants.py
+++ b/sorreldock/lab/simulation/mutants.py
@@ -32,6 +32,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Mutant:
+    """A known mistake, and the rule that it breaks."""
+
     text: str
     rule: str  # that it breaks
     patches: Callable[[], list[Patch]]
@@ -233,6 +235,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Found:
+    """After how many seeds a mutant was found."""
+
     mutant: str
     seeds: int | None  # played until the first violation; None: not found
     seed: int | None
--- a/sorreldock/lab/simulation/network.py
+++ b/sorreldock/lab/simulation/network.py
@@ -28,6 +28,8 @@
 
 
 class Signal:
+    """A signal delivered to a virtual process."""
+
     def __init__(self, name: str) -> None:
         self.name = name
 
@@ -469,6 +471,8 @@
 
 
 class Network:
+    """The virtual network: hosts, connections and what happens to them."""
+
     def __init__(self, rng: random.Random, weather: Weather, record: Callable[[str], None]) -> None:
         self.rng, self.weather, self.record = rng, weather, record
         self.hosts: dict[str, Host] = {}
--- a/sorreldock/lab/simulation/observers.py
+++ b/sorreldock/lab/simulation/observers.py
@@ -78,6 +78,8 @@
 
 
 class HttpFrontTap(FrontTap):
+    """Watches one client connection of the HTTP/1.1 front."""
+
     def __init__(self, judge: Judge, router: str, incoming: Pipe, out: Pipe) -> None:
         super().__init__(judge, router, incoming, out)
         self._requests, self._answers = HttpReader(answers=False), HttpReader(answers=True)
@@ -127,6 +129,8 @@
 
 
 class H2FrontTap(FrontTap):
+    """Watches one client connection of the gRPC front."""
+
     def __init__(self, judge: Judge, router: str, incoming: Pipe, out: Pipe) -> None:
         super().__init__(judge, router, incoming, out)
         self._requests, self._answers = FrameReader(preface=True), FrameReader(preface=False)
--- a/sorreldock/lab/simulation/readers.py
+++ b/sorreldock/lab/simulation/readers.py
@@ -23,6 +23,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Head:
+    """The head of a message."""
+
     start: bytes
     fields: dict[bytes, bytes]
     end: int  # the offset behind it
@@ -38,6 +40,8 @@
 
 @dataclass(frozen=True, slots=True)
 class End:
+    """The end of a message."""
+
     end: int
 
 
@@ -135,6 +139,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Frame:
+    """A frame of HTTP/2."""
+
     kind: int
     flags: int
     stream: int
--- a/sorreldock/lab/simulation/runner.py
+++ b/sorreldock/lab/simulation/runner.py
@@ -146,6 +146,8 @@
 
 
 class World:
+    """One run of a scenario: its hosts, peers and routers."""
+
     def __init__(self, scenario: Scenario, keep_trace: bool = False) -> None:
         self.scenario = scenario
         self.rng = random.Random(f"world {scenario.seed}")
--- a/sorreldock/lab/simulation/scenario.py
+++ b/sorreldock/lab/simulation/scenario.py
@@ -61,6 +61,8 @@
 
 
 class WeatherPlan(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True, omit_defaults=True):
+    """Delays and losses of a scenario's network."""
+
     delay_ms: NotNegative = 1.0
     jitter_ms: NotNegative = 0.0
     loss: Share = 0.0
@@ -70,6 +72,8 @@
 
 
 class EnginePlan(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True, omit_defaults=True):
+    """An engine of a scenario."""
+
     zone: Annotated[int, msgspec.Meta(ge=0, le=3)] = 0
     batch: Count = 8
     step_s: Positive = 0.04
@@ -78,6 +82,8 @@
 
 
 class RequestPlan(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True, omit_defaults=True):
+    """A request of a scenario."""
+
     at_s: NotNegative
     router: Annotated[int, msgspec.Meta(ge=0)] = 0
     protocol: Literal["http", "kserve"] = "http"
@@ -92,6 +98,8 @@
 
 
 class FaultPlan(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True, omit_defaults=True):
+    """A fault of a scenario."""
+
     kind: FaultKind
     at_s: NotNegative
     for_s: NotNegative = 1.0
--- a/sorreldock/lab/simulation/shrink.py
+++ b/sorreldock/lab/simulation/shrink.py
@@ -17,6 +17,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Shrunk:
+    """The smallest scenario that still fails."""
+
     scenario: Scenario
     rule: str
     runs: int
--- a/sorreldock/lab/simulation/system.py
+++ b/sorreldock/lab/simulation/system.py
@@ -19,6 +19,8 @@
 
 
 class VirtualSystem:
+    """A virtual machine as a router's `System`."""
+
     clock: trio.abc.Clock | None = None  # the whole world's, which its run is given
     wait_readable: Callable[[VirtualSocket], Awaitable[None]] = staticmethod(_readable)
 
--- a/sorreldock/program/calls.py
+++ b/sorreldock/program/calls.py
@@ -15,6 +15,8 @@
 
 
 class Calls:
+    """Answers operators' calls in each phase."""
+
     def __init__(
         self, lifecycle: Lifecycle, core: Core, fronts: dict[str, Front[Any]], nursery: trio.Nursery
     ) -> None:
--- a/sorreldock/program/config.py
+++ b/sorreldock/program/config.py
@@ -25,6 +25,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Kserve:
+    """The [kserve] table of an operator's file."""
+
     listen: str
     models: tuple[str, ...]
     default_class: str
@@ -45,6 +47,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Config:
+    """The whole configuration of a router."""
+
     name: str
     listen: str
     discovery: str
--- a/sorreldock/program/phases.py
+++ b/sorreldock/program/phases.py
@@ -9,6 +9,8 @@
 
 
 class Phase(Enum):
+    """A phase of the program's life."""
+
     STARTING = "starting"
     SERVING = "serving"
     DRAINED = "drained"  # at an operator's call: answering what still comes, until the next call
@@ -28,6 +30,8 @@
 
 
 class Lifecycle:
+    """The present phase, and which may follow it."""
+
     def __init__(self, on_change: Callable[[Phase], None]) -> None:
         self.phase = Phase.STARTING
         self.stop_asked = trio.Event()
--- a/sorreldock/program/serve.py
+++ b/sorreldock/program/serve.py
@@ -61,6 +61,8 @@
 
 
 class Program:
+    """A router: its layers wired together, from start to exit."""
+
     def __init__(
         self, config: Config, read_again: Callable[[], Config] | None = None, system: System = MACHINE
     ) -> None:
--- a/sorreldock/program/takeover.py
+++ b/sorreldock/program/takeover.py
@@ -104,6 +104,8 @@
 
 
 class Takeover:
+    """Follows a process of the same router, and lets another follow."""
+
     def __init__(
         self,
         folder: str,
--- a/sorreldock/protocol/front.py
+++ b/sorreldock/protocol/front.py
@@ -61,6 +61,8 @@
 
 
 class Front(ABC, Generic[C]):
+    """The client connections of one protocol."""
+
     def __init__(
         self,
         core: Router,
--- a/sorreldock/protocol/http/client.py
+++ b/sorreldock/protocol/http/client.py
@@ -144,6 +144,8 @@
 
 
 class HttpEngineClient(PooledEngineClient[EngineLine, EngineLine]):
+    """Call attempts and probes at one engine over HTTP/1.1."""
+
     def __init__(
         self,
         address: str,
--- a/sorreldock/protocol/http/front.py
+++ b/sorreldock/protocol/http/front.py
@@ -352,6 +352,8 @@
 
 
 class HttpFront(Front[ClientConnection]):
+    """The client connections that speak HTTP/1.1."""
+
     draining = False  # answers say `Connection: close`
     closing = False  # connections end after their answer
 
--- a/sorreldock/protocol/kserve/client.py
+++ b/sorreldock/protocol/kserve/client.py
@@ -175,6 +175,8 @@
 
 
 class KserveEngineClient(PooledEngineClient[EngineLine, Exchange]):
+    """Call attempts and probes at one engine over gRPC."""
+
     def __init__(
         self,
         address: str,
--- a/sorreldock/protocol/kserve/front.py
+++ b/sorreldock/protocol/kserve/front.py
@@ -20,6 +20,8 @@
 
 
 class KserveFront(Front[ClientConnection]):
+    """The client connections that speak gRPC."""
+
     def __init__(
         self,
         settings: FrontSettings,
--- a/sorreldock/protocol/kserve/metadata.py
+++ b/sorreldock/protocol/kserve/metadata.py
@@ -28,6 +28,8 @@
 
 @dataclass(frozen=True, slots=True)
 class FrontSettings:
+    """What an operator's file says of the gRPC front."""
+
     models: tuple[str, ...]
     default_class: str
     default_tenant: str
--- a/sorreldock/routing/core.py
+++ b/sorreldock/routing/core.py
@@ -84,6 +84,8 @@
 
 
 class Core:
+    """The table of open RPCs, and the actor that speaks with the decision module."""
+
     def __init__(
         self,
         settings: Settings,
--- a/sorreldock/routing/subchannel.py
+++ b/sorreldock/routing/subchannel.py
@@ -87,16 +87,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Start:
+    """Order to start a call attempt."""
+
     attempt: CallAttempt
 
 
 @dataclass(frozen=True, slots=True)
 class Probing:
-    pass
+    """Order to probe the engine."""
 
 
 @dataclass(frozen=True, slots=True)
 class Update:
+    """Order to heed a change to the engine's entry in the list."""
+
     ready: bool
     restarted: bool
 
@@ -105,6 +109,8 @@
 
 
 class Subchannel:
+    """The actor of one engine."""
+
     def __init__(
         self,
         number: int,
--- a/sorreldock/routing/types.py
+++ b/sorreldock/routing/types.py
@@ -31,6 +31,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Final:
+    """The final answer of an RPC, with its cause."""
+
     outcome: Outcome
     cause: Cause = Cause.NONE
     may_have_run: bool = False
@@ -156,6 +158,8 @@
 
 @dataclass(frozen=True, slots=True)
 class ResolverResult:
+    """A list of engines, or a change to it, from discovery."""
+
     kind: ListKind
     targets: tuple[Target, ...] = ()
     version: int = 0
--- a/sorreldock/rules.py
+++ b/sorreldock/rules.py
@@ -106,6 +106,8 @@
 
 
 class Attempt:
+    """One attempt of a request."""
+
     def __init__(self, replica: Replica, sent_at: float) -> None:
         self.replica = replica
         self.sent_at = sent_at
@@ -118,6 +120,8 @@
 
 
 class Request:
+    """An open request and its attempts."""
+
     def __init__(self, event: RequestArrived, cls: RequestClass, homes: int, share: float = 0.0) -> None:
         self.event = event
         self.cls = cls
@@ -136,6 +140,8 @@
 
 
 class Gateway:
+    """The decisions of one gateway: events in, actions out."""
+
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
         self.random = random.Random(seed)
--- a/sorreldock/transport/budget.py
+++ b/sorreldock/transport/budget.py
@@ -9,6 +9,8 @@
 
 
 class Use(Enum):
+    """Who holds a descriptor."""
+
     CLIENT = "client"
     ENGINE = "engine"
 
--- a/sorreldock/transport/listener.py
+++ b/sorreldock/transport/listener.py
@@ -15,6 +15,8 @@
 
 
 class Listener:
+    """Accepts connections within the descriptor budget."""
+
     def __init__(
         self, address: str, budget: Descriptors, system: System = MACHINE, inherited: int | None = None
     ) -> None:
--- a/sorreldock/transport/pool.py
+++ b/sorreldock/transport/pool.py
@@ -28,6 +28,8 @@
 
 
 class Pool(Generic[L]):
+    """The idle connections to one engine."""
+
     # An engine closes a connection that stood idle for `conn_idle_s`, and what is written to it from then on
     # ends in a reset. Guards against that race: nothing idle for more than this share of it is used again.
     REUSED_BEFORE = 0.75
--- a/sorreldock/transport/ring.py
+++ b/sorreldock/transport/ring.py
@@ -4,6 +4,8 @@
 
 
 class Ring:
+    """A ring buffer that holds no memory while it is empty."""
+
     __slots__ = ("_capacity", "_size", "_start", "_view")
 
     def __init__(self, capacity: int) -> None:
--- a/sorreldock/transport/system.py
+++ b/sorreldock/transport/system.py
@@ -52,6 +52,8 @@
 
 
 class System(Protocol):
+    """What the program needs of the system below."""
+
     @property
     def clock(self) -> trio.abc.Clock | None:
         """For `trio.run`; None: trio's own."""
--- a/sorreldock/wirehost.py
+++ b/sorreldock/wirehost.py
@@ -12,6 +12,8 @@
 
 
 class Host:
+    """Runs gateways behind the simulator's wire."""
+
     def __init__(self) -> None:
         self.gateways: dict[str, Gateway] = {}
         self.clock = 0.0
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -273,6 +273,8 @@
 
 @dataclass
 class Answer:
+    """A router's answer as a client sees it."""
+
     status: int
     headers: dict[str, str]
     body: bytes
@@ -281,6 +283,8 @@
 
 @dataclass
 class Router:
+    """A running program and how to reach it."""
+
     program: Program
     nursery: trio.Nursery
     answers: list[Answer] = field(default_factory=list)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -18,6 +18,8 @@
 
 @dataclass(frozen=True)
 class Candidate:
+    """A client connection as the queue sees it."""
+
     stage: Stage
     since: float
 
