Take a server for cold that had no listener, before the list tells its new start

Change: a refused connection is a status of its own (NO_LISTENER). Whatever listens there later has started since, so the replica counts as cold from the last refusal on, unless the list tells a later start. A connection that came up late or not at all says nothing and is treated as before. The test fails without the change.

--- a/sorreldock/interface.py
+++ b/sorreldock/interface.py
@@ -176,6 +176,7 @@
     FULL = "full"
     TIMEOUT = "timeout"
     CONNECT_FAILED = "connect_failed"
+    NO_LISTENER = "no_listener"  # the connection was refused: no process listens there now
     RESET = "reset"
     CANCELLED = "cancelled"
     NOT_SENT = "not_sent"
--- a/sorreldock/protocol/engine.py
+++ b/sorreldock/protocol/engine.py
@@ -9,7 +9,7 @@
 
 from ..interface import Status
 from ..routing.types import RPC, CallProgress, Report
-from ..transport.connection import ConnectionLost, DialFailed
+from ..transport.connection import ConnectionLost, DialFailed, NoListener
 from ..transport.pool import Line, Pool
 
 # An engine that goes silent within a stream: its client would wait for ever, since a vanished machine says
@@ -31,6 +31,11 @@
     """The engine has said what its protocol does not allow."""
 
 
+def dial_status(error: DialFailed) -> Status:
+    """What a failed dial says of the engine."""
+    return Status.NO_LISTENER if isinstance(error, NoListener) else Status.CONNECT_FAILED
+
+
 L = TypeVar("L", bound=Line)
 E = TypeVar("E")
 
@@ -60,7 +65,7 @@
         try:
             line = await self._pool.get()
         except DialFailed as error:
-            return Report(Status.CONNECT_FAILED, note=str(error))
+            return Report(dial_status(error), note=str(error))
         whole = False
         try:
             if not progress.may_send():
@@ -90,7 +95,7 @@
             try:
                 line = await self._pool.get()
             except DialFailed as error:
-                return Report(Status.CONNECT_FAILED, note=str(error))
+                return Report(dial_status(error), note=str(error))
             whole = False
             try:
                 report = await self.ask_load(line)
--- a/sorreldock/routing/core.py
+++ b/sorreldock/routing/core.py
@@ -55,7 +55,7 @@
     Target,
 )
 
-NEVER_RAN = (Status.FULL, Status.CONNECT_FAILED, Status.NOT_SENT)
+NEVER_RAN = (Status.FULL, Status.CONNECT_FAILED, Status.NO_LISTENER, Status.NOT_SENT)
 # The final answer has to land before the client gives up, and its clock started a journey earlier than ours.
 MARGIN_S = 0.03
 OVERDUE_S = 0.02  # after this the core answers by itself what the module has left open
--- a/sorreldock/rules.py
+++ b/sorreldock/rules.py
@@ -46,8 +46,9 @@
 # One hash for each purpose.
 REJECT, BUSY = 0xA0761D6478BD642F, 0xD6E8FEB86659FD93
 COLD, ZONE = 0xE7037ED1A0B428DB, 0x8EBC6AF09C88C6E3
-UNMET = (Status.CONNECT_FAILED, Status.NOT_SENT)  # no replica has met the request
+UNMET = (Status.CONNECT_FAILED, Status.NO_LISTENER, Status.NOT_SENT)  # no replica has met the request
 NEVER_RAN = (Status.FULL, *UNMET)
+FAILURES = (Status.ERROR, Status.CONNECT_FAILED, Status.NO_LISTENER, Status.RESET, Status.TIMEOUT)
 TRIES = 6  # draws in a bucket before the next one: with half of it rejected, 1 key in 64 gets that far
 REMEMBERED = 1000  # keys whose draws are kept: more than the prefixes in use, a few hundred kB
 SPREAD = 2.0  # homes of a prefix, as a multiple of the replicas that its share of the traffic would fill
@@ -99,7 +100,7 @@
         self.strikes = 0
         self.fair = False
         self.first_s = self.refused = 0.0
-        self.refused_at = -math.inf
+        self.refused_at = self.down_at = -math.inf  # down: no process listened, who does has started since
         self.passed = (-math.inf, 0.0)  # of the attempt sent last that has begun: when, and its first token
         self.values: tuple[float, ...] = ()
         self.p = self.load = 0.0
@@ -336,8 +337,9 @@
     def warmth(self, replica: Replica) -> float:
         """The share of its work that a replica can do at least, as the guarantees state it."""
         g = self.settings.guarantees
-        age = self.now - replica.entry.started_at
-        if replica.entry.started_at <= 0.0 or age >= g.warm_up_s:
+        started_at = max(replica.entry.started_at, replica.down_at)
+        age = self.now - started_at
+        if started_at <= 0.0 or age >= g.warm_up_s:
             return 1.0
         return g.cold_share + (1.0 - g.cold_share) * max(age, 0.0) / g.warm_up_s
 
@@ -433,6 +435,7 @@
         if event.status is Status.OK:
             self.on_report(replica, event.report, replica.fair)
         else:
+            replica.down_at = self.now if event.status is Status.NO_LISTENER else replica.down_at
             self.over_used(replica)
         for request in list(self.held.values()):  # not all open ones: that cost a stormy day its CPU
             if request.awaited is replica:
@@ -595,7 +598,8 @@
         replica.busy -= 1
         if event.status is Status.OK:
             replica.strikes = max(replica.strikes - 1, 0)
-        if event.status in (Status.ERROR, Status.CONNECT_FAILED, Status.RESET, Status.TIMEOUT):
+        replica.down_at = self.now if event.status is Status.NO_LISTENER else replica.down_at
+        if event.status in FAILURES:
             self.failed(replica)
         elif event.status is Status.FULL:
             self.over_used(replica)
--- a/sorreldock/transport/connection.py
+++ b/sorreldock/transport/connection.py
@@ -26,6 +26,10 @@
     """No connection came up: refused, timed out, or no descriptor to spare."""
 
 
+class NoListener(DialFailed):
+    """The machine is there, and no process listens at the address."""
+
+
 class Connection:
     """Bytes in both directions. Reading and writing may go on in two tasks; each alone in one at a time."""
 
@@ -213,7 +217,8 @@
     except (OSError, trio.TooSlowError) as error:
         sock.close()
         on_close()
-        raise DialFailed(str(error) or "timed out") from None
+        kind = NoListener if isinstance(error, ConnectionRefusedError) else DialFailed
+        raise kind(str(error) or "timed out") from None
     except trio.Cancelled:
         sock.close()
         on_close()
--- a/tests/test_attempt_limits.py
+++ b/tests/test_attempt_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from types import SimpleNamespace
 from typing import Any
 
@@ -9,8 +10,11 @@
 import trio
 from peers import EVENTS, SETTINGS, Call, Engine, among, serve_well, story
 
+from sorreldock.interface import Status
 from sorreldock.program import serve as program_serve
+from sorreldock.protocol.http.client import HttpEngineClient
 from sorreldock.routing.subchannel import CallAttempt, time_to_finish_writing
+from sorreldock.transport.budget import Descriptors
 from sorreldock.transport.connection import Connection
 
 
@@ -85,3 +89,16 @@
         got = await router.post()
     assert got.status in (502, 503, 504) and len(dialled) == 2
     assert len(first.calls) + len(second.calls) == 1
+
+
+@story
+async def test_a_refused_connection_tells_that_no_process_listens() -> None:
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{free.getsockname()[1]}"  # bound, and nobody listens
+        closed = HttpEngineClient(address, Descriptors(364), 1.0, 60.0, "/alive")
+        assert (await closed.probe()).status is Status.NO_LISTENER
+        attempt: Any = SimpleNamespace()
+        assert (await closed.call(attempt, attempt)).status is Status.NO_LISTENER
+    nowhere = HttpEngineClient("not-an-address", Descriptors(364), 1.0, 60.0, "/alive")
+    assert (await nowhere.probe()).status is Status.CONNECT_FAILED
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -57,7 +57,7 @@
 )
 from sorreldock.rules import Gateway, Request
 
-NEVER_RAN = (Status.FULL, Status.CONNECT_FAILED, Status.NOT_SENT)
+NEVER_RAN = (Status.FULL, Status.CONNECT_FAILED, Status.NO_LISTENER, Status.NOT_SENT)
 MAY_HAVE_RUN = (Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
 
 
@@ -419,6 +419,27 @@
     assert {s.request for s in sends(actions)} >= {f"r{k}" for k in range(20)}
 
 
+@pytest.mark.parametrize("probed", [False, True])
+@pytest.mark.parametrize("status", [Status.CONNECT_FAILED, Status.NO_LISTENER])
+def test_a_replica_that_had_no_listener_is_cold_from_then_on(status: Status, probed: bool) -> None:
+    """It is back at its old address before the list tells its start; a late connection says nothing."""
+    gw = gateway(fleet(4))
+    if probed:
+        gw.handle(START, [ProbeEnded(3, status, 0.01, ())])
+    else:
+        first = next(c for k in range(99) for c in sends(gw.handle(START, [call(f"f{k}")])) if c.replica == 3)
+        gw.handle(START, [ended(first.request, first, 0, status)])
+    later = START + 0.25 * GUARANTEES.warm_up_s  # no flag lasts so long
+    taken = sum(
+        s.replica == 3 for k in range(400) for s in sends(gw.handle(later, [call(f"x{k}", now=later)]))
+    )
+    cold = status is Status.NO_LISTENER
+    assert gw.warmth(gw.replicas[3]) == (pytest.approx(0.4) if cold else 1.0)
+    assert 0 < taken < 75 if cold else taken > 75
+    gw.handle(later, [listing(entry(3, started_at=later - 1.0), kind=ListKind.DELTA)])
+    assert gw.warmth(gw.replicas[3]) == pytest.approx(0.2 + 0.8 * 1.0 / GUARANTEES.warm_up_s)
+
+
 def test_a_fresh_start_resets_what_was_believed() -> None:
     gw = gateway()
     gw.failed(gw.replicas[1])
