Log why a connection ended with an answer owed, and how long decisions take

New: CLOSED (rpc, stage, whether the head was sent, reason); FINAL with held_s, the statuses of its attempts and the reason of a client's leaving; DECISIONS, once a second while a batch took over 10 ms (batches, longest, which events). No decision changes; tests of the HTTP front, the program and the layers passed.

--- a/sorreldock/protocol/front.py
+++ b/sorreldock/protocol/front.py
@@ -77,7 +77,7 @@
         self.clients: dict[C, None] = {}  # in order of their coming: a replay asks them alike
         # Set once another process takes connections over that are between requests; tells whether it did.
         self.passed_on: Callable[[Connection], Awaitable[bool]] | None = None
-        self._log = log
+        self.log = log
         self.queue: EvictionQueue[C] = EvictionQueue()  # of those that may make room
         self.shed: Counter[str] = Counter()  # connections that made room, by stage
         budget.evictors[Use.CLIENT].append(self.make_room)
@@ -110,7 +110,7 @@
         try:
             await client.run()
         except Exception as error:  # a peer's fault never ends the program
-            self._log("err", "FRONT", "fault on a client connection", error=repr(error))
+            self.log("err", "FRONT", "fault on a client connection", error=repr(error))
         finally:
             del self.clients[client]
             self.queue.leave(client)
@@ -142,7 +142,7 @@
             await trio.sleep(1.0)
             if self.shed:
                 counts, self.shed = self.shed, Counter()
-                self._log("notice", "CROWD", "connections closed to make room", **counts)
+                self.log("notice", "CROWD", "connections closed to make room", **counts)
 
     async def closed(self, within_s: float) -> None:
         """Wait until the last answer has been written, and then so long for the connections to end."""
--- a/sorreldock/protocol/http/front.py
+++ b/sorreldock/protocol/http/front.py
@@ -52,6 +52,7 @@
         self.final: Final | None = None
         self.finished = trio.Event()
         self.head_sent = False
+        self.rpc_key = ""  # of the last RPC, for the log
 
     @property
     def owes_answer(self) -> bool:
@@ -146,11 +147,24 @@
                     if self.front.passed_on is None:
                         await self.leave()
                     return
-        except (ConnectionLost, h11.LocalProtocolError):
-            pass  # the client has gone in the middle of an answer
+        except (ConnectionLost, h11.LocalProtocolError) as error:
+            self.tell_closed(error)
         finally:
             self.release_ahead()
 
+    def tell_closed(self, error: Exception) -> None:
+        """Log the end of a connection on which an answer, or the rest of one, was owed."""
+        if self.owes_answer:
+            self.front.log(
+                "info",
+                "CLOSED",
+                "connection ended with an answer owed",
+                rpc=self.rpc_key,
+                stage=self.stage.value,
+                head_sent=self.head_sent,
+                reason=f"{type(error).__name__}: {error}",
+            )
+
     async def leave(self) -> None:
         """End the connection behind something that was just written. What still comes is nobody's any more,
         and its sender learns so by the end of ours.
@@ -283,6 +297,7 @@
         rpc.expires_in_s = max(rpc.expires_in_s - (trio.current_time() - arrived_at), LEAST_WAIT_S)
         try:
             core.submit(rpc)
+            self.rpc_key = rpc.key
         except Overloaded:
             raise Answered(503, "too many open requests", ((b"retry-after", b"1"),)) from None
         except NameTaken:
@@ -298,12 +313,13 @@
 
     async def watch(self, rpc: RPC) -> None:
         """Read on until the client closes, and tell the core when it does."""
+        reason = "end of its sending"
         try:
             while data := await self.connection.receive():
                 self.keep_ahead(data)
-        except ConnectionLost:
-            pass
-        self.front.core.client_gone(rpc)
+        except ConnectionLost as error:
+            reason = str(error)
+        self.front.core.client_gone(rpc, reason)
 
     def keep_ahead(self, data: bytes) -> None:
         """Keep what belongs to later requests for the parser, within the bounds on memory."""
--- a/sorreldock/routing/core.py
+++ b/sorreldock/routing/core.py
@@ -40,6 +40,7 @@
     TimerFired,
 )
 from ..rules import Gateway
+from .pace import DecisionPace
 from .subchannel import CallAttempt, Probing, Start, Subchannel, Update
 from .types import (
     RPC,
@@ -118,6 +119,7 @@
         self._gone: dict[str, int] = {}
         self._nursery: trio.Nursery | None = None
         self._idle = trio.Event()
+        self._pace = DecisionPace(trio.current_time())
 
     # What the fronts call.
 
@@ -155,16 +157,16 @@
             )
         )
 
-    def client_gone(self, rpc: RPC) -> None:
+    def client_gone(self, rpc: RPC, reason: str = "") -> None:
         entry = self.open.get(rpc.key)
         if entry is None or entry.answered:
             return
-        self._finish(entry, Final(Outcome.GONE))
+        self._finish(entry, Final(Outcome.GONE), reason)
         self._abandon(entry)
 
     def _wanted(self, rpc: RPC) -> bool:
         if rpc.sink.left():
-            self.client_gone(rpc)
+            self.client_gone(rpc, "seen before an attempt")
             return False
         return True
 
@@ -356,6 +358,8 @@
                 self._due(events)
                 if events:
                     self._decide(events)
+                if (summary := self._pace.summary(trio.current_time())) is not None:
+                    self._log("notice", "DECISIONS", "decisions take long or wait", **summary)
 
     def _due(self, events: list[Event]) -> None:
         now = trio.current_time()
@@ -370,7 +374,9 @@
 
     def _decide(self, events: list[Event]) -> None:
         try:
-            actions = self._gateway.handle(trio.current_time() + self._epoch, events)
+            began = trio.current_time()
+            actions = self._gateway.handle(began + self._epoch, events)
+            self._pace.decided(events, trio.current_time() - began)
         except Exception as error:  # a fault in the decisions must not take the open streams with it
             self._log("err", "MODULE", "the module failed", error=f"{type(error).__name__}: {error}")
             for event in events:
@@ -486,7 +492,7 @@
         self._finish(entry, Final(final.outcome, cause, entry.may_have_run(), final.retry_after_s))
         self._forget_if_over(entry)
 
-    def _finish(self, entry: OpenRPC, final: Final) -> None:
+    def _finish(self, entry: OpenRPC, final: Final, reason: str = "") -> None:
         entry.answered = True
         entry.rpc.payload = None  # the deadline's timer keeps the entry for a while
         entry.rpc.sink.finish(final)
@@ -499,6 +505,9 @@
                 outcome=final.outcome.value,
                 cause=final.cause.value,
                 attempts=len(entry.attempts),
+                held_s=round(trio.current_time() - entry.arrived_at, 4),
+                statuses=" ".join(status.value for status in entry.statuses),
+                reason=reason,
             )
 
     def _forget_if_over(self, entry: OpenRPC) -> None:
--- a/sorreldock/routing/types.py
+++ b/sorreldock/routing/types.py
@@ -98,8 +98,8 @@
         NameTaken when an open one has its name.
         """
 
-    def client_gone(self, rpc: RPC) -> None:
-        """The client has left; of no effect once the RPC is answered."""
+    def client_gone(self, rpc: RPC, reason: str = "") -> None:
+        """The client has left; of no effect once the RPC is answered. The reason is for the log."""
 
 
 @dataclass(frozen=True, slots=True)
