--- a/sorreldock/lab/processes.py
+++ b/sorreldock/lab/processes.py
@@ -27,7 +27,6 @@
 READY_S = 15.0
 STOP_S = 20.0  # then SIGKILL
 PR_SET_PDEATHSIG = 1
-MODULE = [sys.executable, "-m", "sorreldock"]
 
 
 def free_port() -> int:
@@ -48,14 +47,16 @@
     return tie
 
 
-def _start(words: list[str], environment: dict[str, str], **options: Any) -> subprocess.Popen[bytes]:
-    """In a session of its own: a terminal's Ctrl-C reaches this process alone, which ends its children.
+def start_command(
+    words: list[str], environment: dict[str, str], module: str = "sorreldock", **options: Any
+) -> subprocess.Popen[bytes]:
+    """Start a command line in a session of its own: a terminal's Ctrl-C reaches this process alone, which ends its children.
 
     Not trio's `open_process`: it starts children from a worker thread, and to the kernel that thread is the
     parent whose death they are tied to.
     """
     return subprocess.Popen(
-        [*MODULE, *words],
+        [sys.executable, "-m", module, *words],
         cwd=ROOT,
         env=environment,
         start_new_session=True,
@@ -90,7 +91,7 @@
         environment = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
         environment["RELAY_CONFIG"] = str(self.directory / f"{self.name}.json")
         with open(self.directory / f"{self.name}.log", "ab") as log:
-            self.process = _start(
+            self.process = start_command(
                 ["serve", "--operator", str(self.directory / f"{self.name}.toml")],
                 environment,
                 stdin=subprocess.DEVNULL,
@@ -189,7 +190,7 @@
     fleet: subprocess.Popen[bytes] | None = None
     made: Cluster | None = None
     try:
-        fleet = _start(
+        fleet = start_command(
             ["lab", "fleet", str(file.resolve()), "--json"],
             dict(os.environ),
             stdin=subprocess.PIPE,
--- /dev/null
+++ b/sorreldock/lab/soak/servers.py
@@ -0,0 +1,280 @@
+"""Stand-in servers, up to thousands in one process, and the discovery that lists them."""
+
+from __future__ import annotations
+
+import json
+import random
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass
+from enum import Enum
+from functools import partial
+from typing import Any
+
+import h11
+import trio
+
+from .records import Arrival, Records
+
+EVENT = b'data: {"n":%d}\n\n'
+DONE = b"data: [DONE]\n\n"
+SIGN_OF_LIFE_S = 2.0  # the protocol's empty line while nothing changes
+PER_SUBNET = 250
+BACKLOG = 128
+
+
+class Fault(Enum):
+    """What a server does to a request instead of answering it."""
+
+    NONE = "none"
+    ERROR = "error"  # 500
+    TURNED_AWAY = "turned_away"  # 503 with X-Never-Ran
+    RESET = "reset"  # the connection ends before the answer
+    BREAK = "break"  # the stream ends half way
+    HANG = "hang"  # nothing comes any more
+
+
+@dataclass(slots=True)
+class Behaviour:
+    """How servers answer: times in seconds, shares from 0 to 1."""
+
+    first_event_s: float = 0.05
+    spread_s: float = 0.0  # added to that, drawn evenly
+    events: int = 3
+    between_s: float = 0.0
+    fault: Fault = Fault.NONE
+    fault_share: float = 0.0
+
+
+class Server:
+    """One listed server."""
+
+    def __init__(self, number: int, zone: str, listener: socket.socket) -> None:
+        self.uid = f"s-{number:05d}"
+        self.zone = zone
+        self.state = "Ready"
+        self.started_ms = 0
+        self.listener = listener
+        host, port = listener.getsockname()
+        self.endpoint = f"{host}:{port}"
+
+    def entry(self) -> dict[str, Any]:
+        """Return the server in discovery's form."""
+        return {
+            "uid": self.uid,
+            "endpoint": self.endpoint,
+            "az": self.zone,
+            "model": "m",
+            "pod_group": 0,
+            "state": self.state,
+            "capacity_hint": 1.0,
+            "boot_ms": self.started_ms,
+        }
+
+
+class Fleet:
+    """Servers on addresses of 127.77.0.0/16, and their discovery on 127.0.0.1."""
+
+    def __init__(self, count: int, zones: list[str], records: Records, seed: int = 0) -> None:
+        self.behaviour = Behaviour()
+        self.records = records
+        self.servers: list[Server] = []
+        self.revision = 1
+        self.discovery_up = True
+        self._nursery: trio.Nursery | None = None
+        self._draw = random.Random(seed)
+        self._changes: dict[int, list[dict[str, Any]]] = {}
+        self._changed = trio.Event()
+        self._watches: set[trio.CancelScope] = set()
+        with socket.create_server(("127.0.0.1", 0)) as probe:
+            port = probe.getsockname()[1]
+        for number in range(count):
+            subnet, place = divmod(number, PER_SUBNET)
+            listener = socket.create_server((f"127.77.{subnet}.{place + 1}", port), backlog=BACKLOG)
+            self.servers.append(Server(number, zones[number % len(zones)], listener))
+
+    @asynccontextmanager
+    async def running(self) -> AsyncIterator[Fleet]:
+        """Serve until the block is left."""
+        async with trio.open_nursery() as self._nursery:
+            for server in self.servers:
+                self._nursery.start_soon(self._accept, server, self._nursery)
+            yield self
+            self._nursery.cancel_scope.cancel()
+        for server in self.servers:
+            server.listener.close()
+
+    # Discovery.
+
+    def discovery_for(self, router: str) -> str:
+        """Return the address at which this router, and no other, finds discovery."""
+        assert self._nursery is not None
+        listening = socket.create_server(("127.0.0.1", 0), backlog=BACKLOG)
+        host, port = listening.getsockname()
+        listener = trio.SocketListener(trio.socket.from_stdlib_socket(listening))
+        self._nursery.start_soon(trio.serve_listeners, partial(self._serve_discovery, router), [listener])
+        return f"{host}:{port}"
+
+    def listing(self) -> dict[str, Any]:
+        """Return the whole list in discovery's form."""
+        return {"rev": self.revision, "all": True, "targets": [server.entry() for server in self.servers]}
+
+    def change(self, servers: list[Server], state: str) -> None:
+        """Publish a new state of these servers as one version."""
+        now = trio.current_time()
+        for server in servers:
+            server.state = state
+            self.records.ending_since.setdefault(server.uid, now)
+        self.revision += 1
+        self._changes[self.revision] = [server.entry() for server in servers]
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def stop_discovery(self) -> None:
+        """End all watches, and answer calls with 503 until `start_discovery`."""
+        self.discovery_up = False
+        self.records.outages.append((trio.current_time(), None))
+        for scope in list(self._watches):
+            scope.cancel()
+
+    def start_discovery(self) -> None:
+        """Answer calls again."""
+        self.discovery_up = True
+        now = trio.current_time()
+        self.records.outages = [(began, now if end is None else end) for began, end in self.records.outages]
+
+    async def _serve_discovery(self, router: str, stream: trio.SocketStream) -> None:
+        with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            head = await _read_head(stream)
+            if not head or not self.discovery_up:
+                await stream.send_all(b"HTTP/1.1 503 Unavailable\r\ncontent-length: 0\r\n\r\n")
+                return
+            with trio.CancelScope() as scope:
+                self._watches.add(scope)
+                try:
+                    await self._watch(router, stream)
+                finally:
+                    self._watches.discard(scope)
+
+    async def _watch(self, router: str, stream: trio.SocketStream) -> None:
+        await stream.send_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+        told = self.revision
+        await stream.send_all(_chunk(json.dumps(self.listing()).encode() + b"\n"))
+        self._note_told(router)
+        while True:
+            changed = self._changed
+            while told < self.revision:
+                told += 1
+                delta = {"rev": told, "all": False, "targets": self._changes[told]}
+                await stream.send_all(_chunk(json.dumps(delta).encode() + b"\n"))
+                self._note_told(router)
+            with trio.move_on_after(SIGN_OF_LIFE_S) as quiet:
+                await changed.wait()
+            if quiet.cancelled_caught:
+                await stream.send_all(_chunk(b"\n"))
+
+    def _note_told(self, router: str) -> None:
+        now = trio.current_time()
+        for server in self.records.ending_since:
+            self.records.told.setdefault((router, server), now)
+
+    # Servers.
+
+    async def _accept(self, server: Server, nursery: trio.Nursery) -> None:
+        listener = trio.SocketListener(trio.socket.from_stdlib_socket(server.listener))
+        while True:
+            with suppress(OSError):
+                stream = await listener.accept()
+                nursery.start_soon(self._serve, server, stream)
+
+    async def _serve(self, server: Server, stream: trio.SocketStream) -> None:
+        parser = h11.Connection(h11.SERVER)
+        async with stream:
+            with suppress(trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError):
+                while await self._exchange(server, stream, parser):
+                    parser.start_next_cycle()
+
+    async def _exchange(self, server: Server, stream: trio.SocketStream, parser: h11.Connection) -> bool:
+        """Serve one request; tells whether the connection can carry another."""
+        head = await _next_event(stream, parser)
+        if not isinstance(head, h11.Request):
+            return False
+        headers = {name.decode(): value.decode() for name, value in head.headers}
+        told_s = float(headers.get("x-expires-in", "0u").rstrip("um")) / 1e6
+        arrival = Arrival(headers.get("x-trace-id", ""), server.uid, trio.current_time(), told_s)
+        while not isinstance(event := await _next_event(stream, parser), h11.EndOfMessage):
+            if isinstance(event, h11.ConnectionClosed):
+                return False
+        self.records.arrivals.append(arrival)
+        try:
+            return await self._answer(arrival, stream, parser)
+        finally:
+            arrival.ended_at = trio.current_time()
+
+    async def _answer(self, arrival: Arrival, stream: trio.SocketStream, parser: h11.Connection) -> bool:
+        behaviour = self.behaviour
+        fault = behaviour.fault if self._draw.random() < behaviour.fault_share else Fault.NONE
+        if fault is Fault.HANG:
+            await _until_closed(stream)
+            return False
+        first_event_s = behaviour.first_event_s + self._draw.random() * behaviour.spread_s
+        if not await _wait_unless_closed(stream, first_event_s):
+            return False
+        if fault is Fault.RESET:
+            return False
+        if fault in (Fault.ERROR, Fault.TURNED_AWAY):
+            headers = [("content-length", "0")]
+            if fault is Fault.TURNED_AWAY:
+                headers.append(("x-never-ran", "1"))
+            response = h11.Response(status_code=500 if fault is Fault.ERROR else 503, headers=headers)
+            await stream.send_all((parser.send(response) or b"") + (parser.send(h11.EndOfMessage()) or b""))
+            return True
+        response = h11.Response(status_code=200, headers=[("content-type", "text/event-stream")])
+        out = parser.send(response) or b""
+        for number in range(behaviour.events):
+            event = EVENT % number if number < behaviour.events - 1 else DONE
+            out += parser.send(h11.Data(data=event)) or b""
+            await stream.send_all(out)
+            arrival.served += event
+            out = b""
+            if fault is Fault.BREAK:
+                arrival.broken = True
+                return False
+            if behaviour.between_s and not await _wait_unless_closed(stream, behaviour.between_s):
+                return False
+        await stream.send_all(parser.send(h11.EndOfMessage()) or b"")
+        return True
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+async def _read_head(stream: trio.SocketStream) -> bytes:
+    data = b""
+    while b"\r\n\r\n" not in data:
+        more = bytes(await stream.receive_some(65536))
+        if not more:
+            return b""
+        data += more
+    return data
+
+
+async def _next_event(stream: trio.SocketStream, parser: h11.Connection) -> Any:
+    while (event := parser.next_event()) is h11.NEED_DATA:
+        parser.receive_data(bytes(await stream.receive_some(65536)))
+    return event
+
+
+async def _until_closed(stream: trio.SocketStream) -> None:
+    while await stream.receive_some(65536):
+        pass
+
+
+async def _wait_unless_closed(stream: trio.SocketStream, seconds: float) -> bool:
+    """Wait; False as soon as the router has ended the connection."""
+    with trio.move_on_after(seconds):
+        await _until_closed(stream)
+        return False
+    return True
--- /dev/null
+++ b/tests/test_lost_requests.py
@@ -0,0 +1,43 @@
+"""Reproductions of the incident of lost requests (docs/incidents), on real router processes over loopback."""
+
+from __future__ import annotations
+
+from sorreldock.lab.soak.clients import Habit
+from sorreldock.lab.soak.runner import Soak, Verdict, play
+
+
+def checked(verdict: Verdict) -> Verdict:
+    """Fail with the first breaks of a rule, and with what the routers logged of them."""
+    if verdict.breaks:
+        names = {line.split()[1] for line in verdict.breaks[:5]}
+        logged = [
+            line
+            for log in verdict.logs.values()
+            for line in log.splitlines()
+            if any(n in line for n in names)
+        ]
+        raise AssertionError("\n".join([f"{len(verdict.breaks)} breaks", *verdict.breaks[:10], *logged[:20]]))
+    return verdict
+
+
+def test_a_router_of_thousands_of_servers_answers_in_time_while_its_list_changes() -> None:
+    verdict = checked(
+        play(
+            Soak(
+                routers=1,
+                servers=3200,
+                span_s=6.0,
+                clients=12,
+                requests_per_s=30.0,
+                faults_per_s=0.0,
+                changes_per_s=2.0,
+                habits=(Habit.PLAIN, Habit.KEEPS),
+            )
+        )
+    )
+    assert verdict.requests > 100 and verdict.served > 0.9 * verdict.requests
+
+
+def test_no_request_is_lost_to_system_calls_that_fail_for_a_moment() -> None:
+    verdict = checked(play(Soak(routers=4, servers=20, span_s=6.0, faults_per_s=0.0, failing_calls=0.02)))
+    assert verdict.requests > 80 and verdict.served > 0.8 * verdict.requests
--- a/tests/test_shutdown_and_cancellation.py
+++ b/tests/test_shutdown_and_cancellation.py
@@ -156,6 +156,29 @@
         return await self.sock.accept()
 
 
+@story
+async def test_the_backlog_is_served_though_accepts_fail_for_a_moment_as_the_listener_closes() -> None:
+    budget = Descriptors(1024)
+    listener = Listener("127.0.0.1:0", budget)
+    host, port = (await listener.bind()).rsplit(":", 1)
+    short = listener._sock = ShortOfDescriptors(listener._sock, 3)
+    clients = [socket.create_connection((host, int(port))) for _ in range(5)]
+    for client in clients:
+        client.sendall(b"request")
+
+    async def handle(connection: Connection) -> None:
+        await connection.send(b"answer to " + await connection.receive())
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(listener.serve, nursery, handle)
+        listener.close()
+    for client in clients:
+        client.settimeout(5.0)
+        assert client.recv(100) == b"answer to request"
+        client.close()
+    assert short.failures == 0 and budget.used[Use.CLIENT] == 0
+
+
 @story
 async def test_a_newcomer_is_served_once_there_are_descriptors_again() -> None:
     budget = Descriptors(1024)
