Repeat system calls that fail in passing, and take the whole backlog at a stop

Seen: with 2 % of the system calls of two of four routers failing for a moment (ENOMEM, ENOBUFS; EMFILE and the like for accept), 10 of 147 and 24 of 182 requests were lost: CLOSED and FINAL outcome=gone with the client still there. Lines at fault: Connection.fill, _push and hang_up (any OSError was the connection's end), closed_by_peer and ended (a failed look was the client's end), Connection and Listener._accept (a failed TCP_NODELAY closed an accepted connection), Listener._accept_backlog (given up at the first failed accept or full budget), dial (our own want of a port or descriptor flagged the server). Change: transport/failures.py says once which errors pass; calls are repeated within the caller's time; a failed look is no end; what our own machine lacks is LocalShortage, and its attempt NOT_SENT, which flags no server; the backlog is tried for 1 s, and the program waits for its listeners.

--- a/sorreldock/lab/processes.py
+++ b/sorreldock/lab/processes.py
@@ -50,7 +50,9 @@
 def start_command(
     words: list[str], environment: dict[str, str], module: str = "sorreldock", **options: Any
 ) -> subprocess.Popen[bytes]:
-    """Start a command line in a session of its own: a terminal's Ctrl-C reaches this process alone, which ends its children.
+    """Start a command line in a session of its own.
+
+    A terminal's Ctrl-C reaches this process alone, which ends its children.
 
     Not trio's `open_process`: it starts children from a worker thread, and to the kernel that thread is the
     parent whose death they are tied to.
--- a/sorreldock/program/serve.py
+++ b/sorreldock/program/serve.py
@@ -184,6 +184,8 @@
         """Wait until nothing is open and the last answers are written. Guards requests on their way:
         one whose last bytes come while the connections close is taken, and answered like the others.
         """
+        for listener in self.listeners.values():
+            await listener.ended.wait()
         while True:
             await self.core.drained()
             for front in self.fronts.values():
--- a/sorreldock/protocol/engine.py
+++ b/sorreldock/protocol/engine.py
@@ -9,7 +9,7 @@
 
 from ..interface import Status
 from ..routing.types import RPC, CallProgress, Report
-from ..transport.connection import ConnectionLost, DialFailed, NoListener
+from ..transport.connection import ConnectionLost, DialFailed, LocalShortage, NoListener
 from ..transport.pool import Line, Pool
 
 # An engine that goes silent within a stream: its client would wait for ever, since a vanished machine says
@@ -33,6 +33,8 @@
 
 def dial_status(error: DialFailed) -> Status:
     """What a failed dial says of the engine."""
+    if isinstance(error, LocalShortage):
+        return Status.NOT_SENT
     return Status.NO_LISTENER if isinstance(error, NoListener) else Status.CONNECT_FAILED
 
 
--- a/sorreldock/transport/connection.py
+++ b/sorreldock/transport/connection.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from .failures import is_local_shortage, is_passing, repeated
 from .ring import Ring
 from .system import MACHINE, System
 
@@ -30,10 +31,23 @@
     """The machine is there, and no process listens at the address."""
 
 
+class LocalShortage(DialFailed):
+    """This machine had no descriptor, port or memory for a connection: it says nothing of the peer."""
+
+
 class Connection:
     """Bytes in both directions. Reading and writing may go on in two tasks; each alone in one at a time."""
 
-    __slots__ = ("_closed", "_incoming", "_on_close", "_outgoing", "_reading", "_sock", "_wait_readable")
+    __slots__ = (
+        "_closed",
+        "_incoming",
+        "_no_delay",
+        "_on_close",
+        "_outgoing",
+        "_reading",
+        "_sock",
+        "_wait_readable",
+    )
 
     def __init__(
         self,
@@ -47,8 +61,7 @@
         self._closed = self._reading = False
         self._incoming = Ring(RING_BYTES)
         self._outgoing = Ring(RING_BYTES)
-        if sock.family != socket.AF_UNIX:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._no_delay = sock.family == socket.AF_UNIX or set_no_delay(sock)
 
     async def fill(self) -> int:
         """Read into the ring and leave it there; 0 at the end. Waits for ever while the ring is full."""
@@ -59,7 +72,7 @@
                 self._incoming.let_go()
                 await self._wait_readable(self._sock)
             self._reading = True  # bytes leave the kernel a pass before they are counted below
-            count: int = await self._sock.recv_into(self._incoming.free_span())
+            count: int = await repeated(lambda: self._sock.recv_into(self._incoming.free_span()))
         except (OSError, trio.ClosedResourceError) as error:
             raise ConnectionLost(str(error)) from None
         finally:
@@ -101,7 +114,9 @@
             raise ConnectionLost(str(error)) from None
 
     async def _push(self) -> None:
-        sent = await self._sock.send(self._outgoing.held_span())
+        if not self._no_delay:
+            self._no_delay = set_no_delay(self._sock)
+        sent = await repeated(lambda: self._sock.send(self._outgoing.held_span()))
         self._outgoing.shrank(sent)
 
     async def hang_up(self, within_s: float, quiet_s: float) -> None:
@@ -109,17 +124,20 @@
         while bytes still come makes the system send a reset, which may overtake what is not read yet.
         """
         try:
-            self._sock.shutdown(socket.SHUT_WR)
             with trio.move_on_after(within_s):
+                await repeated(self._shut_down)
                 while True:
                     with trio.move_on_after(quiet_s) as quiet:
-                        if not await self._sock.recv_into(DISCARDED):
+                        if not await repeated(lambda: self._sock.recv_into(DISCARDED)):
                             return
                     if quiet.cancelled_caught:
                         return
         except (OSError, trio.ClosedResourceError):
             pass  # it has gone, or had to make room
 
+    async def _shut_down(self) -> None:
+        self._sock.shutdown(socket.SHUT_WR)
+
     def ended(self) -> bool:
         """Whether the peer has closed or reset the connection; a look without waiting.
 
@@ -134,7 +152,9 @@
             count = read_now(self._sock, self._incoming.free_span())
         except BlockingIOError:
             return False
-        except (OSError, trio.ClosedResourceError):
+        except OSError as error:
+            return not is_passing(error)
+        except trio.ClosedResourceError:
             return True
         self._incoming.grew(count)
         return count == 0
@@ -162,13 +182,22 @@
 
 
 def closed_by_peer(sock: Any) -> bool:
-    """Whether the kernel has received the peer's FIN or RST; False where no kernel's TCP is below."""
+    """Whether the kernel has received the peer's FIN or RST; False where it can't be asked."""
     if not isinstance(sock, trio.socket.SocketType) or sock.family == socket.AF_UNIX:
         return False
     try:
         return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in ENDED_BY_PEER
     except OSError:
-        return True
+        return False  # a failure to look is no end: whoever reads the connection will meet it
+
+
+def set_no_delay(sock: Any) -> bool:
+    """Let small writes leave at once; False if it failed, which is no reason to end a connection."""
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    except OSError:
+        return False
+    return True
 
 
 def read_now(sock: Any, into: memoryview) -> int:
@@ -202,24 +231,47 @@
 async def dial(
     address: str, timeout_s: float, on_close: Callable[[], None], system: System = MACHINE
 ) -> Connection:
-    """Open a connection; calls `on_close` itself if none comes up."""
+    """Open a connection within so many seconds; calls `on_close` itself if none comes up.
+
+    What fails for want of something on this machine is tried again until then (LocalShortage); a peer that
+    refuses is NoListener, and all else DialFailed.
+    """
     try:
-        host, port = split_address(address)
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        sock = system.socket(family)
-    except (ValueError, OSError) as error:
+        where = split_address(address)
+    except ValueError as error:
         on_close()
         raise DialFailed(str(error)) from None
+    shortages: list[OSError] = []  # of the latest try
+
+    async def connect() -> Any:
+        shortages.clear()
+        return await _connected(where, system)
+
+    def is_shortage(error: OSError) -> bool:
+        shortages.append(error)
+        return is_local_shortage(error)
+
     try:
         with trio.fail_after(timeout_s):
-            await sock.connect((host, port))
-        return Connection(sock, on_close, system.wait_readable)
-    except (OSError, trio.TooSlowError) as error:
-        sock.close()
+            sock = await repeated(connect, is_shortage)
+    except trio.TooSlowError:
+        on_close()
+        raise LocalShortage(str(shortages[0])) if shortages else DialFailed("timed out") from None
+    except OSError as error:
         on_close()
         kind = NoListener if isinstance(error, ConnectionRefusedError) else DialFailed
-        raise kind(str(error) or "timed out") from None
+        raise kind(str(error)) from None
     except trio.Cancelled:
-        sock.close()
         on_close()
         raise
+    return Connection(sock, on_close, system.wait_readable)
+
+
+async def _connected(where: tuple[str, int], system: System) -> Any:
+    sock = system.socket(socket.AF_INET6 if ":" in where[0] else socket.AF_INET)
+    try:
+        await sock.connect(where)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
--- a/sorreldock/transport/listener.py
+++ b/sorreldock/transport/listener.py
@@ -12,6 +12,7 @@
 from .system import MACHINE, System
 
 ACCEPT_PAUSE_S = 0.01  # after a failed accept: the system may be short of descriptors or memory
+BACKLOG_S = 1.0  # to take what the kernel has accepted, when the listener closes
 
 
 class Listener:
@@ -29,6 +30,7 @@
         self._budget = budget
         self._where = (host, port)
         self._scope = trio.CancelScope()
+        self.ended = trio.Event()  # nothing more comes from it
 
     async def bind(self) -> str:
         """Start to listen; tells the address, with the port that the system chose for port 0."""
@@ -50,46 +52,50 @@
 
     async def serve(self, nursery: trio.Nursery, handle: Callable[[Connection], Awaitable[None]]) -> None:
         """Accept until `close`; the connections outlive it in `nursery`."""
-        with self._sock:
-            with self._scope:
-                while True:
-                    await self._wait_readable(self._sock)  # nobody makes room for nobody
-                    # Guards the descriptor limit: with all in use, newcomers wait in the kernel's backlog.
-                    while not self._budget.take(Use.CLIENT):
-                        await self._budget.freed(0.05)
-                    if not await self._accept(nursery, handle):
-                        await trio.sleep(ACCEPT_PAUSE_S)
-            if self._scope.cancelled_caught and not self._inherited:
-                with trio.CancelScope(shield=True):
-                    await self._accept_backlog(nursery, handle)
+        try:
+            with self._sock:
+                with self._scope:
+                    while True:
+                        await self._wait_readable(self._sock)  # nobody makes room for nobody
+                        await self._accept_next(nursery, handle)
+                if self._scope.cancelled_caught and not self._inherited:
+                    with trio.CancelScope(shield=True, deadline=trio.current_time() + BACKLOG_S):
+                        await self._accept_backlog(nursery, handle)
+        finally:
+            self.ended.set()
+
+    async def _accept_next(
+        self, nursery: trio.Nursery, handle: Callable[[Connection], Awaitable[None]]
+    ) -> None:
+        """Accept one connection once there is a descriptor for it; pauses behind a failure."""
+        # Guards the descriptor limit: with all in use, newcomers wait in the kernel's backlog.
+        while not self._budget.take(Use.CLIENT):
+            await self._budget.freed(0.05)
+        if not await self._accept(nursery, handle):
+            await trio.sleep(ACCEPT_PAUSE_S)
 
     async def _accept_backlog(
         self, nursery: trio.Nursery, handle: Callable[[Connection], Awaitable[None]]
     ) -> None:
         """Take the connections that the kernel has already accepted.
 
-        Closing the socket would reset them, with requests that their clients take for delivered.
+        Closing the socket would reset them, with requests that their clients take for delivered. A failed
+        accept or a want of descriptors may pass while this waits.
         """
-        while self._sock.is_readable() and self._budget.take(Use.CLIENT):
-            if not await self._accept(nursery, handle):
-                return
+        while self._sock.is_readable():
+            await self._accept_next(nursery, handle)
 
     async def _accept(self, nursery: trio.Nursery, handle: Callable[[Connection], Awaitable[None]]) -> bool:
         """Accept one connection, on a descriptor that the budget has given; tells whether one came."""
         try:
             sock, _ = await self._sock.accept()
-        except OSError:  # the newcomer has gone again, or the system is short of something
+        except OSError:  # the newcomer has gone again, or this machine is short of something
             self._budget.give_back(Use.CLIENT)
             return False
         except trio.Cancelled:
             self._budget.give_back(Use.CLIENT)
             raise
-        try:
-            connection = Connection(sock, lambda: self._budget.give_back(Use.CLIENT), self._wait_readable)
-        except OSError:
-            sock.close()
-            self._budget.give_back(Use.CLIENT)
-            return True
+        connection = Connection(sock, lambda: self._budget.give_back(Use.CLIENT), self._wait_readable)
         nursery.start_soon(self._attend, handle, connection)
         return True
 
--- a/sorreldock/transport/pool.py
+++ b/sorreldock/transport/pool.py
@@ -8,7 +8,7 @@
 import trio
 
 from .budget import Descriptors, Use
-from .connection import Connection, Dial, DialFailed, dial
+from .connection import Connection, Dial, LocalShortage, dial
 
 
 class Line(Protocol):
@@ -57,14 +57,14 @@
         budget.evictors[Use.ENGINE].append(self.evict)
 
     async def get(self) -> L:
-        """An idle line, else a new one; DialFailed when none comes up."""
+        """An idle line, else a new one; DialFailed when none comes up, LocalShortage if that is our own fault."""
         while (idle := self._take_rested()) is not None:
             since, line = idle
             if trio.current_time() - since < self._reusable_s and await line.usable():
                 return line
             line.connection.close()
         if not self._budget.take(Use.ENGINE):
-            raise DialFailed("no descriptor to spare")
+            raise LocalShortage("no descriptor to spare")
         on_close = lambda: self._budget.give_back(Use.ENGINE)  # noqa: E731
         return self._wrap(await self._dial(self.address, self._connect_timeout_s, on_close))
 
