Decide in one place what may be sent or closed now, and check it at run time

New: routing/permissions.py (may_begin, may_write, time_to_finish_writing, write_until; Audit, which counts and logs VIOLATION records: two attempts out, written after the answer, its time or the drain's grace, answered twice or late, closed with an answer owed). On the way, of the same class: a request was still written up to 0.2 s after a drain notice, which a hold-up of 0.15 s between clock and write made 0.35 s (now 0.08 s); the client was looked at before the last look at the clock (now behind it); a keyed repeat could be written up to its window's very end (now 0.15 s less); a fault of our own front closed a connection without an answer (now 500); a probe that our own want of a descriptor prevented counted against its server (now it does not).

--- a/sorreldock/lab/soak/runner.py
+++ b/sorreldock/lab/soak/runner.py
@@ -23,6 +23,7 @@
 DOWN_S = 0.5  # from a process's end to its successor's start
 HELD_UP_S = 0.15
 TICK_S = 0.01
+FAULT_RECORDS = (" VIOLATION ", " FRONT ", " MODULE ", "fault in the engine client", "Traceback")
 ZONES = ["north", "south", "west", "east"]
 
 
@@ -226,13 +227,23 @@
             self.fleet.change([draw.choice(ready)], "Terminating")
             await trio.sleep(1.0 / self.soak.changes_per_s)
 
+    def _logged_faults(self) -> list[str]:
+        """Return what the routers themselves logged as broken rules or faults of theirs."""
+        return [
+            f"logged: {router.name}: {line[line.index(word) :]}"
+            for router in self.routers
+            for line in router.log.read_text(errors="replace").splitlines()
+            for word in FAULT_RECORDS
+            if word in line
+        ]
+
     def _verdict(self, plan: list[faults.Trouble]) -> Verdict:
         records = self.records
         return Verdict(
             seed=self.soak.seed,
             requests=len(records.exchanges),
             served=sum(exchange.status == 200 and exchange.whole for exchange in records.exchanges),
-            breaks=breaks(records),
+            breaks=[*breaks(records), *self._logged_faults()],
             longest_lag_s=records.longest_lag_s,
             plan=plan,
             logs={router.name: router.log.read_text(errors="replace") for router in self.routers},
--- a/sorreldock/protocol/engine.py
+++ b/sorreldock/protocol/engine.py
@@ -72,7 +72,7 @@
         try:
             if not progress.may_send():
                 whole = True
-                return Report(Status.NOT_SENT, note="drained while dialling")
+                return Report(Status.NOT_SENT)
             try:
                 exchange = await self.send(line, rpc, progress)
             except NeverTaken as error:
--- a/sorreldock/protocol/front.py
+++ b/sorreldock/protocol/front.py
@@ -111,6 +111,8 @@
             await client.run()
         except Exception as error:  # a peer's fault never ends the program
             self.log("err", "FRONT", "fault on a client connection", error=repr(error))
+            if client.owes_answer:
+                self.core.closed_owing("", repr(error))
         finally:
             del self.clients[client]
             self.queue.leave(client)
--- a/sorreldock/protocol/http/front.py
+++ b/sorreldock/protocol/http/front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from dataclasses import replace
 
 import h11
@@ -25,6 +26,10 @@
 STREAM_HEAD = [(b"content-type", b"text/event-stream"), (b"cache-control", b"no-cache")]
 
 
+class ClientStalled(ConnectionLost):
+    """The client has taken nothing of its answer for too long."""
+
+
 class Answered(Exception):
     """The request gets this plain answer, without the core."""
 
@@ -110,7 +115,7 @@
         with trio.move_on_after(limits.WRITE_S) as scope:
             await self.connection.send(data)
         if scope.cancelled_caught:  # guards memory and engines against a reader that never reads
-            raise ConnectionLost("the client takes nothing")
+            raise ClientStalled("the client takes nothing")
 
     def closing(self) -> list[tuple[bytes, bytes]]:
         ends = self.front.draining and self.front.passed_on is None
@@ -149,6 +154,10 @@
                     return
         except (ConnectionLost, h11.LocalProtocolError) as error:
             self.tell_closed(error)
+        except Exception:  # a fault of ours: the client gets an answer all the same, if none has begun
+            with suppress(ConnectionLost, h11.LocalProtocolError):
+                await self.answer(500, "fault in the router", (CLOSE,))
+            raise
         finally:
             self.release_ahead()
 
@@ -165,6 +174,9 @@
                 head_sent=self.head_sent,
                 reason=f"{type(error).__name__}: {error}",
             )
+            broken = self.final is not None and self.final.outcome is Outcome.BROKEN
+            if not broken and not isinstance(error, ClientStalled) and not self.left():
+                self.front.core.closed_owing(self.rpc_key, str(error))
 
     async def leave(self) -> None:
         """End the connection behind something that was just written. What still comes is nobody's any more,
--- a/sorreldock/routing/core.py
+++ b/sorreldock/routing/core.py
@@ -43,6 +43,7 @@
 from ..rules import Gateway
 from .mailbox import DecisionMailbox
 from .pace import DecisionPace, advice_s, waits_too_long
+from .permissions import Audit, Rule, may_begin, write_until
 from .subchannel import CallAttempt, Probing, Start, Subchannel, Update
 from .types import (
     RPC,
@@ -124,6 +125,7 @@
         self._nursery: trio.Nursery | None = None
         self._idle = trio.Event()
         self._pace = DecisionPace(trio.current_time())
+        self.audit = Audit(log)
 
     # What the fronts call.
 
@@ -168,6 +170,9 @@
         self._finish(entry, Final(Outcome.GONE), reason)
         self._abandon(entry)
 
+    def closed_owing(self, rpc: str, reason: str) -> None:
+        self.audit.expect(False, Rule.CLOSED_OWING, rpc, reason=reason)
+
     def _wanted(self, rpc: RPC) -> bool:
         if rpc.sink.left():
             self.client_gone(rpc, "seen before an attempt")
@@ -282,6 +287,17 @@
         attempt.rpc.payload = None  # nothing more goes out for it
         self._mailbox.post(FirstToken(attempt.rpc.key, attempt.number, attempt.subchannel.number, latency))
 
+    def _attempt_written(self, attempt: CallAttempt) -> None:
+        entry = self.open[attempt.rpc.key]
+        self.audit.written(
+            attempt.rpc.key,
+            trio.current_time(),
+            answered=entry.answered,
+            out=entry.out,
+            expires_at=attempt.rpc.expires_at,
+            drained_at=attempt.subchannel.drained_at,
+        )
+
     def _attempt_ended(self, attempt: CallAttempt, report: Report, latency_s: float) -> None:
         entry = self.open[attempt.rpc.key]
         entry.out -= 1
@@ -359,6 +375,9 @@
         tick = self.settings.tick_s
         last = -math.inf
         async with trio.open_nursery() as self._nursery:
+            for subchannel in self.subchannels.values():
+                if subchannel.running:
+                    self._nursery.start_soon(subchannel.run)
             while True:
                 with trio.move_on_at(self._timers[0][0] if self._timers else math.inf):
                     await self._mailbox.wait()
@@ -468,8 +487,9 @@
             return
         number = len(entry.attempts)
         subchannel = self.subchannels.get(replica)
-        if subchannel is None or not subchannel.ready or entry.out:
-            # The list has changed under the module, or an attempt is out: two at once must never be.
+        ready = subchannel is not None and subchannel.ready
+        denied = may_begin(answered=entry.answered, others_out=entry.out, server_ready=ready)
+        if subchannel is None or denied is not None:  # the list may have changed under the module
             entry.attempts.append(None)
             entry.statuses.append(Status.NOT_SENT)
             self._mailbox.post(AttemptEnded(request, number, replica, Status.NOT_SENT, 0.0, False))
@@ -484,6 +504,7 @@
             self._attempt_began,
             self._wanted,
             self._send_by(entry),
+            self._attempt_written,
         )
         entry.attempts.append(attempt)
         entry.out += 1
@@ -492,9 +513,9 @@
     def _order(self, subchannel: Subchannel, order: Start | Probing) -> None:
         """Post an order; a subchannel's actor runs from its first one on."""
         if not subchannel.running:
-            assert self._nursery is not None  # orders come from the module, which has its events from `run`
             subchannel.running = True
-            self._nursery.start_soon(subchannel.run)
+            if self._nursery is not None:
+                self._nursery.start_soon(subchannel.run)
         subchannel.post(order)
 
     def _send_by(self, entry: OpenRPC) -> float:
@@ -506,7 +527,7 @@
         rpc_class = self.classes[entry.rpc.rpc_class]
         if entry.first_run_at is None or rpc_class.effect is not Effect.KEYED:
             return math.inf
-        return entry.first_run_at + rpc_class.dedup_window_s
+        return write_until(entry.first_run_at, rpc_class.dedup_window_s)
 
     def _too_late(self, request: str, replica: int) -> None:
         """The module decided this attempt in the batch in which it heard that nobody waits. Guards its count
@@ -542,6 +563,14 @@
         self._forget_if_over(entry)
 
     def _finish(self, entry: OpenRPC, final: Final, reason: str = "") -> None:
+        self.audit.answered(
+            entry.rpc.key,
+            trio.current_time(),
+            again=entry.answered,
+            begun=entry.started or final.outcome is Outcome.SERVED,
+            expires_at=entry.rpc.expires_at,
+            outcome=final.outcome,
+        )
         entry.answered = True
         entry.rpc.payload = None  # the deadline's timer keeps the entry for a while
         entry.rpc.sink.finish(final)
--- a/sorreldock/routing/subchannel.py
+++ b/sorreldock/routing/subchannel.py
@@ -4,22 +4,14 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import trio
 
 from ..interface import Status
+from .permissions import LONGEST_GRACE_S, Denial, may_write, time_to_finish_writing
 from .types import RPC, Connect, EngineClient, Report, SinkClosed, Target
 
-# What is new to an engine so long after the notice of its end breaks the rule, whatever a deployment grants.
-LONGEST_GRACE_S = 0.25
-GRACE_SHARE = 0.8  # of that, for the last bytes of requests that were on their way; the rest is for the wire
-
-
-def time_to_finish_writing(drain_grace_s: float) -> float:
-    """How long after the notice of an engine's end a request may still be written to its last byte."""
-    return GRACE_SHARE * min(drain_grace_s, LONGEST_GRACE_S)
-
 
 class CallAttempt:
     """One attempt of an RPC at one engine."""
@@ -33,6 +25,7 @@
         on_first: FirstCallback,
         wanted: Wanted,
         send_by: float = math.inf,
+        on_written: WrittenCallback | None = None,
     ) -> None:
         self.rpc = rpc
         self.number = number
@@ -47,22 +40,33 @@
         self._on_first = on_first
         self._wanted = wanted
         self._send_by = send_by
+        self._on_written = on_written
+        self._wait_s = 0.0
+        self.denied: Denial | None = None  # why it was not written
 
     def may_send(self) -> bool:
-        # Guards against an attempt for nobody: a client may have left while its engine was dialled, or in the
-        # moment before, and the task that waits for its end has not run yet.
-        wanted = self.given_up is None and self._wanted(self.rpc)
-        # Guards against effects twice: servers discard a repeat for so long, and dialling has taken a part.
-        in_time = trio.current_time() <= self._send_by
-        # Guards the drain rule: an attempt that was dialling when its engine began to drain is not sent.
-        self.sending = self.subchannel.ready and wanted and in_time
+        # The clock is read before the look at the client, and not again until the write: a program that is
+        # held up behind a look at its clock must not act on an older look at the client.
+        now = trio.current_time()
+        self._wait_s = max(self.scope.deadline - now, 0.0)
+        self.denied = may_write(
+            given_up=self.given_up is not None,
+            server_ready=self.subchannel.ready,
+            now=now,
+            expires_at=self.scope.deadline,
+            send_by=self._send_by,
+            client_there=lambda: self._wanted(self.rpc),
+        )
+        self.sending = self.denied is None
         return self.sending
 
     def sent(self) -> None:
         self.written = True
+        if self._on_written is not None:
+            self._on_written(self)
 
     def wait_s(self) -> float:
-        return max(self.scope.deadline - trio.current_time(), 0.0)
+        return self._wait_s
 
     async def event(self, data: bytes) -> None:
         if not self.started:
@@ -82,6 +86,7 @@
 
 
 FirstCallback = Callable[[CallAttempt], None]
+WrittenCallback = Callable[[CallAttempt], None]
 Wanted = Callable[[RPC], bool]  # whether its client is still there
 
 
@@ -123,7 +128,8 @@
     ) -> None:
         self.number = number
         self.target = target
-        self.ready = True
+        self._ready = True
+        self.drained_at: float | None = None  # when it was told to take no more
         self.running = False  # its actor: from its first order on, since most of a large fleet is never used
         self._connect = connect
         self._clients: dict[str, EngineClient] | None = None
@@ -135,6 +141,17 @@
         # Orders come from the module alone, so their number is bounded by the open RPCs and its probes.
         self._channel: tuple[trio.MemorySendChannel[Order], trio.MemoryReceiveChannel[Order]] | None = None
 
+    @property
+    def ready(self) -> bool:
+        """Whether it takes work, as the list says."""
+        return self._ready
+
+    @ready.setter
+    def ready(self, ready: bool) -> None:
+        if ready != self._ready:
+            self.drained_at = None if ready else trio.current_time()
+        self._ready = ready
+
     @property
     def clients(self) -> dict[str, EngineClient]:
         """Its clients by protocol, made when they are first asked for."""
@@ -229,6 +246,8 @@
             if status is Status.NOT_SENT and attempt.written:  # its last byte went out in the same moment
                 status = Status.CANCELLED
             report = Report(status)
+        if report.status is Status.NOT_SENT and attempt.denied is not None:
+            report = replace(report, note=attempt.denied.value)
         self._on_ended(attempt, report, trio.current_time() - attempt.made_at)
 
     async def _probe(self) -> None:
--- a/sorreldock/routing/types.py
+++ b/sorreldock/routing/types.py
@@ -90,6 +90,9 @@
 class Router(Protocol):
     """The core, as a front sees it."""
 
+    def closed_owing(self, rpc: str, reason: str) -> None:
+        """A connection ended with an answer owed though its client had not left."""
+
     classes: Mapping[str, RequestClass]
     tenants: Collection[str]
 
@@ -123,7 +126,7 @@
         """Told once the last byte is written: from now on the request may run."""
 
     def wait_s(self) -> float:
-        """For how long the router will wait for the first event."""
+        """For how long the router will wait for the first event, from the moment of that question."""
 
     async def event(self, data: bytes) -> None: ...
 
--- a/sorreldock/rules.py
+++ b/sorreldock/rules.py
@@ -420,7 +420,7 @@
             replica.heard_at = self.now
         if event.status is Status.OK:
             self.on_report(replica, event.report, replica.fair)
-        else:
+        elif event.status is not Status.NOT_SENT:  # which says nothing of the replica
             replica.down_at = self.now if event.status is Status.NO_LISTENER else replica.down_at
             self.over_used(replica)
         for request in list(self.held.values()):  # not all open ones: that cost a stormy day its CPU
--- /dev/null
+++ b/tests/test_permissions.py
@@ -0,0 +1,176 @@
+"""What may be started, written and closed now, and the check at run time that it was so."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from typing import Any
+
+import pytest
+import trio
+from peers import Call, Engine, among, story
+from test_bad_days import all_of, raw
+
+from sorreldock.interface import Status
+from sorreldock.protocol.http.client import HttpEngineClient
+from sorreldock.protocol.http.front import ClientConnection
+from sorreldock.routing.permissions import Audit, Denial, Rule, may_begin, may_write, write_until
+from sorreldock.routing.types import Outcome
+from sorreldock.transport.budget import Descriptors, Use
+from sorreldock.transport.connection import Connection, LocalShortage, closed_by_peer, dial
+from sorreldock.transport.failures import is_local_shortage, is_passing
+from sorreldock.transport.system import Machine
+
+ALLOWED: dict[str, Any] = {
+    "given_up": False,
+    "server_ready": True,
+    "now": 1.0,
+    "expires_at": 2.0,
+    "send_by": 2.0,
+    "client_there": lambda: True,
+}
+
+
+@pytest.mark.parametrize(
+    ("changes", "denial"),
+    [
+        ({}, None),
+        ({"given_up": True}, Denial.GIVEN_UP),
+        ({"server_ready": False}, Denial.NOT_READY),
+        ({"expires_at": 1.0}, Denial.EXPIRED),
+        ({"send_by": 0.9}, Denial.WINDOW_OVER),
+        ({"client_there": lambda: False}, Denial.CLIENT_LEFT),
+    ],
+)
+def test_what_forbids_a_write(changes: dict[str, Any], denial: Denial | None) -> None:
+    assert may_write(**{**ALLOWED, **changes}) is denial
+
+
+def test_the_client_is_looked_at_only_where_nothing_else_forbids_a_write() -> None:
+    def look() -> bool:
+        raise AssertionError("a look has effects: it ends the RPC of a client that left")
+
+    assert may_write(**{**ALLOWED, "given_up": True, "client_there": look}) is Denial.GIVEN_UP
+
+
+def test_what_forbids_an_attempt() -> None:
+    assert may_begin(answered=False, others_out=0, server_ready=True) is None
+    assert may_begin(answered=True, others_out=0, server_ready=True) is Denial.ANSWERED
+    assert may_begin(answered=False, others_out=1, server_ready=True) is Denial.ANOTHER_OUT
+    assert may_begin(answered=False, others_out=0, server_ready=False) is Denial.NOT_READY
+    assert write_until(1.0, 0.1) == 1.0 and write_until(1.0, 2.0) == pytest.approx(2.85)
+
+
+def test_the_audit_counts_and_logs_each_rule_that_was_broken() -> None:
+    records: list[tuple[Any, ...]] = []
+    audit = Audit(lambda *words, **data: records.append((*words, data["rule"])))
+    audit.written("r1", 1.0, answered=False, out=1, expires_at=2.0, drained_at=0.9)
+    audit.answered("r1", 1.5, again=False, begun=False, expires_at=2.0, outcome=Outcome.REFUSED)
+    assert not audit.broken and not records
+    audit.written("r2", 3.0, answered=True, out=2, expires_at=2.0, drained_at=2.0)
+    audit.answered("r2", 3.0, again=True, begun=False, expires_at=2.0, outcome=Outcome.FAILED)
+    assert set(audit.broken) == set(Rule) - {Rule.CLOSED_OWING} and len(records) == len(audit.broken)
+    assert all(record[:2] == ("err", "VIOLATION") for record in records)
+
+
+@story
+async def test_a_fault_in_the_front_is_answered_and_a_close_with_an_answer_owed_is_counted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def fail(self: ClientConnection, request: Any) -> None:
+        raise ValueError("a mistake")
+
+    async with among(Engine()) as router:
+        with monkeypatch.context() as patch:
+            patch.setattr(ClientConnection, "call", fail)
+            wire = await router.connect()
+            await wire.stream.send_all(raw())
+            assert (await all_of(wire.stream)).startswith(b"HTTP/1.1 500")
+            await wire.stream.aclose()
+        assert (await router.post(x_trace_id="next")).status == 200
+        assert set(router.program.core.audit.broken) <= {Rule.CLOSED_OWING}
+
+
+@story
+async def test_neither_a_broken_stream_nor_a_client_that_left_counts_as_a_close_of_ours() -> None:
+    async def break_off(call: Call) -> None:
+        await call.start(b"data: 1\n\n")
+        await call.wire.stream.aclose()
+
+    async with among(Engine(break_off)) as router:
+        assert not (await router.post()).whole
+        wire = await router.start_post(x_trace_id="left")
+        await wire.stream.aclose()
+        while router.program.fronts["http"].clients:
+            await trio.sleep(0.005)
+        assert not router.program.core.audit.broken
+
+
+# What a failed system call says.
+
+
+def test_each_error_is_classed_once() -> None:
+    passing = {errno.EINTR, errno.EAGAIN, errno.ENOMEM, errno.ENOBUFS}
+    ends = {errno.ECONNRESET, errno.EPIPE, errno.ETIMEDOUT, errno.ENOTCONN, errno.EBADF, errno.ECONNREFUSED}
+    local = passing | {errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL}
+    for number in passing | ends | local:
+        assert is_passing(OSError(number, "")) is (number in passing)
+        assert is_local_shortage(OSError(number, "")) is (number in local)
+
+
+class NoDescriptors(Machine):
+    """A system that has no descriptor left for so many sockets."""
+
+    def __init__(self, failures: int) -> None:
+        super().__init__()
+        self.failures = failures
+
+    def socket(self, family: int) -> Any:
+        if self.failures:
+            self.failures -= 1
+            raise OSError(errno.EMFILE, "too many open files")
+        return super().socket(family)
+
+
+@story
+async def test_a_dial_is_tried_again_while_this_machine_is_short_and_blames_no_server() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        closed: list[bool] = []
+        connection = await dial(address, 1.0, lambda: closed.append(True), NoDescriptors(3))
+        connection.close()
+        assert closed == [True]
+        with pytest.raises(LocalShortage):
+            await dial(address, 0.05, lambda: closed.append(True), NoDescriptors(1 << 30))
+        assert len(closed) == 2
+        budget = Descriptors(364)
+        while budget.take(Use.ENGINE):
+            pass
+        client = HttpEngineClient(address, budget, 1.0, 60.0, "/alive")
+        assert (await client.probe()).status is Status.NOT_SENT
+
+
+class FailingLook:
+    """A socket whose state can't be asked for."""
+
+    def __init__(self, sock: Any) -> None:
+        self.sock = sock
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.sock, name)
+
+    def getsockopt(self, *words: Any) -> Any:
+        raise OSError(errno.ENOBUFS, "no buffer space")
+
+
+@story
+async def test_a_look_at_the_client_that_fails_is_no_end_of_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        theirs = socket.create_connection(listener.getsockname())
+        ours = trio.socket.from_stdlib_socket(listener.accept()[0])
+    monkeypatch.setattr(type(ours), "getsockopt", FailingLook.getsockopt)
+    connection = Connection(ours, lambda: None)
+    assert not closed_by_peer(ours) and not connection.ended()
+    theirs.close()
+    assert connection.ended()  # seen by reading
+    connection.close()
