Soak real router processes under overlapping faults from seeds, rules as the oracle

The oracle judges what clients and servers noted, and the routers' own VIOLATION, FRONT and MODULE records.

--- a/sorreldock/lab/soak/routers.py
+++ b/sorreldock/lab/soak/routers.py
@@ -66,6 +66,7 @@
         self._records = records
         self._process: subprocess.Popen[bytes] | None = None
         self._life: Life | None = None
+        self._serving = False
         path = folder / f"{name}.json"
         path.write_text(json.dumps({**config, "name": name, "listen": self.address}))
         self._environment = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
@@ -77,8 +78,8 @@
 
     @property
     def running(self) -> bool:
-        """Whether a process serves, as far as is known."""
-        return self._process is not None and self._life is not None and self._life.told_to_end_at is None
+        """Whether a process serves and was not told to end."""
+        return self._serving
 
     async def start(self) -> None:
         """Start a process and wait until it serves."""
@@ -94,6 +95,7 @@
                 if self._process.poll() is not None:
                     raise RuntimeError(f"{self.name} did not start: {self.log.read_text()[-300:]}")
                 await trio.sleep(POLL_S)
+        self._serving = True
 
     def signal(self, number: int) -> None:
         """Send a signal to the process, if there is one."""
@@ -105,6 +107,7 @@
         process, life = self._process, self._life
         if process is None or life is None:
             return
+        self._serving = False
         life.told_to_end_at = trio.current_time()
         self.signal(signal.SIGTERM)
         with trio.move_on_after(kill_after_s):
@@ -114,6 +117,7 @@
 
     def kill(self) -> None:
         """SIGKILL."""
+        self._serving = False
         if self._process is not None and self._life is not None:
             self._finish(self._process, self._life)
 
--- a/sorreldock/lab/soak/runner.py
+++ b/sorreldock/lab/soak/runner.py
@@ -186,8 +186,10 @@
                     await trio.sleep(draw.uniform(0.0, 0.3))
             case faults.Kind.HOLD_UP:
                 router.signal(signal.SIGSTOP)
-                await trio.sleep(HELD_UP_S)
-                router.signal(signal.SIGCONT)
+                try:
+                    await trio.sleep(HELD_UP_S)
+                finally:
+                    router.signal(signal.SIGCONT)
 
     async def _servers_fail(self, lasts: float, draw: random.Random) -> None:
         before = self.fleet.behaviour
--- a/sorreldock/program/cli.py
+++ b/sorreldock/program/cli.py
@@ -11,7 +11,8 @@
 from .. import __version__
 from . import early_reload, optional_commands, start
 from .config import Config, ConfigError, load
-from .simulation_commands import add_to as add_worlds
+from .simulation_commands import add_to as add_simulation
+from .soak_command import add_to as add_soak
 
 app = typer.Typer(
     add_completion=False, no_args_is_help=True, help="A request router for fleets of language-model servers."
@@ -57,7 +58,8 @@
 
 app.command()(optional_commands.ask)
 app.command()(optional_commands.demo)
-add_worlds(optional_commands.lab)
+add_simulation(optional_commands.lab)
+add_soak(optional_commands.lab)
 app.add_typer(optional_commands.lab, name="lab")
 
 
--- /dev/null
+++ b/sorreldock/program/soak_command.py
@@ -0,0 +1,83 @@
+"""`sorreldock lab soak`: router processes on loopback under faults from seeds."""
+
+from __future__ import annotations
+
+import json
+import sys
+from dataclasses import asdict
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from .optional_commands import AsJson, plainly
+from .simulation_commands import span
+
+
+def soak(
+    seeds: Annotated[str, typer.Option(help="A:B, from A to before B.")] = "1:4",
+    routers: Annotated[int, typer.Option(min=1, max=40)] = 12,
+    servers: Annotated[int, typer.Option(min=1, max=10_000, help="Stand-in servers.")] = 80,
+    seconds: Annotated[float, typer.Option(min=3.0, max=3600.0, help="Of traffic, a seed.")] = 20.0,
+    requests: Annotated[float, typer.Option(min=0.1, help="A second and router.")] = 6.0,
+    faults: Annotated[float, typer.Option(min=0.0, help="A second, in the mean; they overlap.")] = 1.5,
+    changes: Annotated[float, typer.Option(min=0.0, help="Changes to the list a second, besides.")] = 0.5,
+    failing_calls: Annotated[
+        float, typer.Option(min=0.0, max=0.2, help="Share of system calls that fail, in half of the routers.")
+    ] = 0.01,
+    logs: Annotated[Path | None, typer.Option(help="A folder for the logs of failing seeds.")] = None,
+    as_json: AsJson = False,
+) -> None:
+    """Play router processes under overlapping faults, and check the rules on what clients and servers saw.
+
+    Exit status: 0 all rules held, 1 one broke, 2 a wrong command line.
+    """
+    with plainly("lab"):
+        from ..lab.soak.runner import Soak, Verdict, play
+
+        broken = False
+        for seed in span(seeds):
+            verdict: Verdict = play(
+                Soak(
+                    seed=seed,
+                    routers=routers,
+                    servers=servers,
+                    span_s=seconds,
+                    requests_per_s=requests,
+                    faults_per_s=faults,
+                    changes_per_s=changes,
+                    failing_calls=failing_calls,
+                )
+            )
+            broken = broken or bool(verdict.breaks)
+            if verdict.breaks and logs is not None:
+                _write_logs(logs, verdict.seed, verdict.logs)
+            print(_line(verdict.seed, verdict.requests, verdict.served, verdict.breaks, as_json), flush=True)
+            if verdict.breaks and not as_json:
+                kinds = [f"{trouble.at:.1f} s {trouble.kind.value}" for trouble in verdict.plan]
+                print("    faults: " + ", ".join(kinds), file=sys.stderr)
+            elif as_json:
+                print(json.dumps({"seed": seed, "plan": [_plain(asdict(t)) for t in verdict.plan]}))
+    raise typer.Exit(1 if broken else 0)
+
+
+def _line(seed: int, requests: int, served: int, breaks: list[str], as_json: bool) -> str:
+    if as_json:
+        return json.dumps({"seed": seed, "requests": requests, "served": served, "breaks": breaks})
+    said = f"seed {seed}: {requests} requests, {served} served, {len(breaks)} breaks"
+    return "\n".join([said, *(f"    {text}" for text in breaks)])
+
+
+def _plain(trouble: dict[str, object]) -> dict[str, object]:
+    return {name: getattr(value, "value", value) for name, value in trouble.items()}
+
+
+def _write_logs(folder: Path, seed: int, logs: dict[str, str]) -> None:
+    folder.mkdir(parents=True, exist_ok=True)
+    for name, text in logs.items():
+        (folder / f"{seed}-{name}.log").write_text(text)
+
+
+def add_to(lab: typer.Typer) -> None:
+    """Add the command to `lab`."""
+    lab.command("soak")(soak)
