--- a/sorreldock/lab/soak/routers.py
+++ b/sorreldock/lab/soak/routers.py
@@ -55,13 +55,14 @@
     def __init__(
         self,
         name: str,
+        host: str,
         folder: Path,
         config: dict[str, Any],
         records: Records,
         faulty_calls: dict[str, Any] | None = None,
     ) -> None:
         self.name = name
-        self.address = f"127.0.0.1:{free_port()}"
+        self.address = f"{host}:{free_port()}"  # on a host of its own: no dial of others takes the port
         self.log = folder / f"{name}.log"
         self._records = records
         self._process: subprocess.Popen[bytes] | None = None
