--- a/sorreldock/lab/soak/runner.py
+++ b/sorreldock/lab/soak/runner.py
@@ -111,9 +111,10 @@
         kinds = ("accept", "recv", "send", "getsockopt", "setsockopt", "short_recv", "short_send")
         shares = dict.fromkeys(kinds, soak.failing_calls)
         failing = {"seed": soak.seed * 1000 + number, "shares": shares} if number % 2 else None
-        return RouterProcess(
-            name, self._folder, config, self.records, failing if soak.failing_calls else None
-        )
+        if not soak.failing_calls:
+            failing = None
+        host = f"127.88.0.{number + 1}"
+        return RouterProcess(name, host, self._folder, config, self.records, failing)
 
     async def _traffic(self, plan: list[faults.Trouble]) -> None:
         with trio.CancelScope() as scope:
