Let nobody connect before serving, and refuse what is whole too late before a kill

Seen by reading, and by tests that fail without: the socket listened from bind on, up to 1 s before a process that waits for its first pushed list serves, so a request that the kernel took then had its clock start up to 1 s late; and what became whole over 0.7 s after SIGTERM (on a connection accepted in the last moment, behind a slow upload) was begun although a kill 3.7 s after SIGTERM cuts it off. Change: listen comes right before serving; from 0.65 s after SIGTERM a request that is whole is refused with 503 and Connection: close (gRPC: UNAVAILABLE). An operator's drain, which no kill follows, refuses nothing.

--- a/sorreldock/program/serve.py
+++ b/sorreldock/program/serve.py
@@ -31,6 +31,9 @@
     from .takeover import Takeover
 
 LISTED_S = 1.0  # where lists are pushed, a new process waits so long for the first one before it serves
+# A kill may come as early as the longest deadline and 0.7 s after SIGTERM, and cuts off what came later than
+# that: it is refused, and its client can go elsewhere.
+LAST_TAKEN_S = 0.65
 LINGER_S = 0.5  # for so long after SIGTERM clients still come, and are still taken
 TRIM_S = 5.0
 # Guards the memory limit. The program itself takes about this much; of the rest two fifths may be payloads,
@@ -161,6 +164,8 @@
             self.serving.set()
             await self.lifecycle.stop_asked.wait()
             self.calls.stop()
+            for front in self.fronts.values():
+                front.refuse_from = trio.current_time() + LAST_TAKEN_S
             self.lifecycle.enter(Phase.LINGERING)
             if config.inherited_fd is not None:  # who comes now is for the process that follows
                 self.listeners["http"].close()
--- a/sorreldock/protocol/front.py
+++ b/sorreldock/protocol/front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from abc import ABC, abstractmethod
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -75,6 +76,8 @@
         self.is_ready = is_ready
         self.payloads = payloads
         self.clients: dict[C, None] = {}  # in order of their coming: a replay asks them alike
+        # Where a kill will follow: what is whole from then on could not be answered to its end before it.
+        self.refuse_from = math.inf
         # Set once another process takes connections over that are between requests; tells whether it did.
         self.passed_on: Callable[[Connection], Awaitable[bool]] | None = None
         self.log = log
@@ -117,6 +120,11 @@
             del self.clients[client]
             self.queue.leave(client)
 
+    @property
+    def refuses(self) -> bool:
+        """Whether a request that is whole now comes too late to be taken."""
+        return trio.current_time() >= self.refuse_from
+
     def make_room(self) -> bool:
         """Close a client connection for a newcomer, or some; tells whether there was one."""
         shed = [c for c in self.queue.evictable(trio.current_time(), SHED_AT_ONCE) if not c.readable]
--- a/sorreldock/protocol/http/front.py
+++ b/sorreldock/protocol/http/front.py
@@ -305,6 +305,8 @@
         rpc.payload = replace(rpc.payload, other_fields=end_to_end(request.headers))
         # In no local variable: it would hold the body for as long as the answer streams, uncounted.
         rpc.payload = replace(rpc.payload, body=await self.body(headers.get(b"content-length", b"0")))
+        if self.front.refuses:
+            raise Answered(503, "stopping", (CLOSE,))
         # One that waited behind another's answer: its client's clock ran meanwhile.
         arrived_at = self.arrivals.of_last_parsed(len(self.parser.trailing_data[0]))
         rpc.expires_in_s = max(rpc.expires_in_s - (trio.current_time() - arrived_at), LEAST_WAIT_S)
--- a/sorreldock/protocol/kserve/call.py
+++ b/sorreldock/protocol/kserve/call.py
@@ -202,6 +202,8 @@
     async def infer(self, method: str, message: bytes) -> None:
         """One RPC, from its message to its final answer."""
         front = self.client.front
+        if front.refuses:
+            raise GrpcError(Code.UNAVAILABLE, "stopping")
         request = parse(pb.ModelInferRequest(), message)
         front.known_model(request.model_name)
         rpc = rpc_from(self.head, method, message, request.id, front.settings, front.core, self)
--- a/sorreldock/transport/listener.py
+++ b/sorreldock/transport/listener.py
@@ -30,6 +30,7 @@
         self._family = socket.AF_INET6 if ":" in host else socket.AF_INET
         self._inherited = inherited is not None
         self._sock: Any = None if inherited is None else system.inherited(inherited)  # from `bind` on
+        self._listens = False
         self._system = system
         self._wait_readable = system.wait_readable
         self._budget = budget
@@ -38,7 +39,11 @@
         self.ended = trio.Event()  # nothing more comes from it
 
     async def bind(self) -> str:
-        """Start to listen; tells the address, with the port that the system chose for port 0."""
+        """Take the address, and tell it with the port that the system chose for port 0.
+
+        Nobody can connect before `listen`: a connection that the kernel accepts counts as taken, however long
+        the program is still busy with its start.
+        """
         if self._inherited:  # it listens already, and for another process too
             return self._name()
         shortages: list[OSError] = []
@@ -48,18 +53,26 @@
             return is_resource_shortage(error)
 
         with trio.move_on_after(BIND_S) as scope:
-            self._sock = await repeated(self._listening, is_passing)
+            self._sock = await repeated(self._bound, is_passing)
         if scope.cancelled_caught:
             raise shortages[-1]
         return self._name()
 
-    async def _listening(self) -> Any:
+    async def listen(self) -> None:
+        """Let clients connect; of no effect on a socket that listens already."""
+        if not self._inherited and not self._listens:
+            await repeated(self._listen, is_resource_shortage)
+            self._listens = True
+
+    async def _listen(self) -> None:
+        self._sock.listen(self._budget.limit)  # all that may come at once; the system bounds it
+
+    async def _bound(self) -> Any:
         sock = self._system.socket(self._family)
         try:
             # A router starts again on its address while connections of the killed one linger.
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             await sock.bind(self._where)
-            sock.listen(self._budget.limit)  # all that may come at once; the system bounds it
         except BaseException:
             sock.close()
             raise
@@ -74,6 +87,7 @@
         try:
             with self._sock:
                 with self._scope:
+                    await self.listen()
                     while True:
                         await self._wait_readable(self._sock)  # nobody makes room for nobody
                         await self._accept_next(nursery, handle)
--- a/tests/test_shutdown_and_cancellation.py
+++ b/tests/test_shutdown_and_cancellation.py
@@ -14,6 +14,7 @@
 from peers import Call, Discovery, Engine, among, serve_until, story
 from test_bad_days import all_of, raw
 
+from sorreldock.kserve.framing import Code
 from sorreldock.program import serve as program_serve
 from sorreldock.program.phases import Phase
 from sorreldock.protocol.http.arrivals import Arrivals
@@ -116,6 +117,7 @@
     budget = Descriptors(1024)
     listener = Listener("127.0.0.1:0", budget)
     host, port = (await listener.bind()).rsplit(":", 1)
+    await listener.listen()
     served: list[bytes] = []
 
     async def handle(connection: Connection) -> None:
@@ -162,6 +164,7 @@
     budget = Descriptors(1024)
     listener = Listener("127.0.0.1:0", budget)
     host, port = (await listener.bind()).rsplit(":", 1)
+    await listener.listen()
     short = listener._sock = ShortOfDescriptors(listener._sock, 3)
     clients = [socket.create_connection((host, int(port))) for _ in range(5)]
     for client in clients:
@@ -185,6 +188,7 @@
     budget = Descriptors(1024)
     listener = Listener("127.0.0.1:0", budget)
     host, port = (await listener.bind()).rsplit(":", 1)
+    await listener.listen()
     short = listener._sock = ShortOfDescriptors(listener._sock, 3)
 
     async def handle(connection: Connection) -> None:
@@ -222,6 +226,53 @@
     assert len(engine.calls) == 1
 
 
+@story
+async def test_nobody_can_connect_before_the_program_serves() -> None:
+    listener = Listener("127.0.0.1:0", Descriptors(1024))
+    host, port = (await listener.bind()).rsplit(":", 1)
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection((host, int(port)))
+    await listener.listen()
+    socket.create_connection((host, int(port))).close()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(listener.serve, nursery, Connection.receive)
+        listener.close()
+
+
+@pytest.mark.parametrize("late", [False, True])
+@story
+async def test_what_is_whole_too_late_before_a_kill_is_refused_at_once(
+    late: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(program_serve, "LAST_TAKEN_S", 0.0 if late else 60.0)
+    engine = Engine()
+    async with among(engine) as router:
+        wire = await router.connect()
+        sent = raw(body=b"x" * 8)
+        await wire.stream.send_all(sent[:-4])
+        await trio.testing.wait_all_tasks_blocked(0.05)
+        router.program.linger_s = 0.0
+        router.program.lifecycle.stop_asked.set()
+        while router.program.lifecycle.phase is not Phase.DRAINING:
+            await trio.sleep(0.005)
+        await wire.stream.send_all(sent[-4:])
+        said = await all_of(wire.stream)
+        assert said.startswith(b"HTTP/1.1 503" if late else b"HTTP/1.1 200")
+        assert b"connection: close" in said
+    assert len(engine.calls) == (not late)
+
+
+@story
+async def test_a_grpc_call_that_comes_too_late_before_a_kill_is_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    engine = SharedEngine()
+    async with among(engine, operator=BOTH) as router, grpc_client(router) as client:
+        router.program.fronts["kserve"].refuse_from = trio.current_time()
+        assert (await client.call("ModelInfer", grpc_request()))[0] == Code.UNAVAILABLE
+    assert not engine.grpc_calls
+
+
 @story
 async def test_a_drain_does_not_reset_an_answer_behind_which_bytes_still_come() -> None:
     async with among(Engine()) as router:
