Divide the core: server table, timers and open RPCs are modules of their own

Readable code, behaviour unchanged: routing/core.py had grown to 567 lines with four concerns. ServerTable follows discovery's results, Timers is the heap, OpenRPC the table's entry; callbacks have named types.

--- a/sorreldock/lab/simulation/runner.py
+++ b/sorreldock/lab/simulation/runner.py
@@ -321,7 +321,7 @@
                 "names": core._names,
                 "requests in the module": gateway.requests,
                 "held in the module": gateway.held,
-                "timers": [t for t in core._timers if t[2] != "ask"],
+                "timers": [what for what in core._timers if what != "ask"],
                 "attempts of engines": [s for s in core.subchannels.values() if s._out],
                 "busy replicas": [r for r in gateway.replicas.values() if r.busy],
             }
--- a/sorreldock/routing/core.py
+++ b/sorreldock/routing/core.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
-import heapq
 import math
 import time
 from collections.abc import Callable, Collection, Mapping
-from dataclasses import replace
 from typing import Any
 
 import trio
 
-from ..hashing import key_of
 from ..interface import (
     Action,
     AttemptEnded,
@@ -27,9 +24,7 @@
     Probe,
     ProbeEnded,
     Refuse,
-    ReplicaEntry,
     ReplicaList,
-    ReplicaState,
     RequestArrived,
     RequestClass,
     Send,
@@ -42,9 +37,12 @@
 )
 from ..rules import Gateway
 from .mailbox import DecisionMailbox
+from .open_rpc import NEVER_RAN, OpenRPC
 from .pace import DecisionPace, advice_s, waits_too_long
 from .permissions import Audit, Rule, may_begin, write_until
-from .subchannel import CallAttempt, Probing, Start, Subchannel, Update
+from .server_table import ServerTable
+from .subchannel import CallAttempt, Probing, Start, Subchannel
+from .timers import Timers
 from .types import (
     RPC,
     Cause,
@@ -56,10 +54,8 @@
     Overloaded,
     Report,
     ResolverResult,
-    Target,
 )
 
-NEVER_RAN = (Status.FULL, Status.CONNECT_FAILED, Status.NO_LISTENER, Status.NOT_SENT)
 # The final answer has to land before the client gives up, and its clock started a journey earlier than ours.
 MARGIN_S = 0.03
 OVERDUE_S = 0.02  # after this the core answers by itself what the module has left open
@@ -67,28 +63,6 @@
 SLICE_S = 0.005  # of decisions, behind which sockets and deadlines have their turn
 
 
-class OpenRPC:
-    """An RPC from its arrival to its one final answer, and until its last attempt has ended."""
-
-    __slots__ = ("answered", "arrived_at", "attempts", "first_run_at", "out", "rpc", "statuses")
-
-    def __init__(self, rpc: RPC) -> None:
-        self.rpc = rpc
-        self.arrived_at = trio.current_time()
-        self.attempts: list[CallAttempt | None] = []
-        self.out = 0
-        self.statuses: list[Status] = []
-        self.first_run_at: float | None = None  # when the first attempt was made that may have run
-        self.answered = False
-
-    @property
-    def started(self) -> bool:
-        return any(a is not None and a.started for a in self.attempts)
-
-    def may_have_run(self) -> bool:
-        return any(s not in NEVER_RAN for s in self.statuses)
-
-
 class Core:
     """The table of open RPCs, and the actor that speaks with the decision module."""
 
@@ -106,16 +80,16 @@
         self.classes: Mapping[str, RequestClass] = {c.name: c for c in settings.classes}
         self.tenants: Collection[str] = {t.name for t in settings.tenants}
         self.open: dict[str, OpenRPC] = {}
-        self.subchannels: dict[int, Subchannel] = {}
+        self._table = ServerTable(
+            connect, probed_with, self._attempt_ended, self._probe_ended, settings.guarantees.drain_grace_s
+        )
+        self.subchannels = self._table.subchannels
         self._gateway = Gateway(settings, seed)
-        self._connect = connect
         self._log = log
         self.most_open = most_open
-        self._probed_with = probed_with
         self._names: set[tuple[str, str]] = set()  # of the open RPCs
         self._arrived = 0
-        self._timers: list[tuple[float, int, str | OpenRPC]] = []
-        self._timer_count = 0
+        self._timers: Timers[str | OpenRPC] = Timers()  # the module's tokens, and deadlines
         # The clock of the module is Unix time, as the engines' start times are, but never steps back.
         self._epoch = wall() - trio.current_time()
         self._mailbox = DecisionMailbox()
@@ -146,7 +120,7 @@
         rpc.key = f"{rpc.name.replace(':', '_')}.{self._arrived}"
         rpc.expires_at = trio.current_time() + rpc.expires_in_s - min(MARGIN_S, 0.1 * rpc.expires_in_s)
         entry = self.open[rpc.key] = OpenRPC(rpc)
-        self._set_timer(rpc.expires_at + OVERDUE_S, entry)
+        self._timers.add(rpc.expires_at + OVERDUE_S, entry)
         self._mailbox.post(
             RequestArrived(
                 request=rpc.key,
@@ -197,74 +171,18 @@
     # What the resolver calls.
 
     def resolved(self, result: ResolverResult) -> None:
-        """Take a resolver result: the subchannels follow at once, the module in its next batches.
-
-        Of a list that is known already only what differs goes on: a whole list of thousands would hold up the
-        decisions each time that a watch is opened.
-        """
+        """Take a resolver result: the subchannels follow at once, the module in its next batches."""
         whole = result.kind is not ListKind.DELTA
-        known = bool(self.subchannels) and not (whole and self._module_failed)
-        numbers = [key_of(target.uid) for target in result.targets]
-        entries: list[ReplicaEntry] = []
-        if whole:
-            listed = set(numbers)
-            for number in [n for n in self.subchannels if n not in listed]:
-                entries.append(
-                    replace(self._entry(number, self.subchannels[number].target), state=ReplicaState.GONE)
-                )
-                self._remove(number)
-        for number, target in zip(numbers, result.targets, strict=True):
-            subchannel = self.subchannels.get(number)
-            changed = subchannel is None or subchannel.target != target
-            if changed:
-                self._apply(number, target)
-            if changed or not known:
-                entries.append(self._entry(number, target))
+        change = self._table.apply(result, whole and self._module_failed)
         if whole:
             self._module_failed = False
-        kind = ListKind.DELTA if known else result.kind
-        if entries or not known:
-            self._mailbox.post(ReplicaList(kind, tuple(entries), result.version))
-
-    @staticmethod
-    def _entry(number: int, target: Target) -> ReplicaEntry:
-        return ReplicaEntry(
-            number, target.zone, target.cell, target.weight, target.state, target.started_at, target.kind
-        )
-
-    def _apply(self, number: int, target: Target) -> None:
-        known = self.subchannels.get(number)
-        if target.state is ReplicaState.GONE:
-            self._remove(number)
-            return
-        if known is not None and known.target.endpoint != target.endpoint:
-            self._remove(number)
-            known = None
-        ready = target.state is ReplicaState.READY
-        if known is None:
-            known = self.subchannels[number] = Subchannel(
-                number,
-                target,
-                self._connect,
-                self._probed_with,
-                self._attempt_ended,
-                self._probe_ended,
-                self.settings.guarantees.drain_grace_s,
-            )
-        restarted = target.started_at > known.target.started_at
-        known.target, known.ready = target, ready
-        known.post(Update(ready, restarted))
-
-    def _remove(self, number: int) -> None:
-        subchannel = self.subchannels.pop(number, None)
-        if subchannel is not None:
-            subchannel.ready = False
-            subchannel.post(Update(False, False))
-            subchannel.retire()
+        if change is not None:
+            self._mailbox.post(change)
 
     # What another process of the same router is told, and tells.
 
     def listing(self) -> ResolverResult:
+        """All servers as they are known."""
         return ResolverResult(ListKind.FULL, tuple(s.target for s in self.subchannels.values()))
 
     def out(self) -> dict[int, int]:
@@ -379,7 +297,7 @@
                 if subchannel.running:
                     self._nursery.start_soon(subchannel.run)
             while True:
-                with trio.move_on_at(self._timers[0][0] if self._timers else math.inf):
+                with trio.move_on_at(self._timers.next_at):
                     await self._mailbox.wait()
                 if last + tick > trio.current_time():
                     await trio.sleep_until(last + tick)
@@ -421,9 +339,7 @@
         return False
 
     def _due(self) -> None:
-        now = trio.current_time()
-        while self._timers and self._timers[0][0] <= now:
-            what = heapq.heappop(self._timers)[2]
+        for what in self._timers.due(trio.current_time()):
             if isinstance(what, str):
                 self._mailbox.post(TimerFired(what))
             elif not what.answered and not what.started:
@@ -464,7 +380,7 @@
                 case Fail(request):
                     self._end(request, Outcome.FAILED, 0.0)
                 case SetTimer(delay_s, token):
-                    self._set_timer(trio.current_time() + delay_s, token)
+                    self._timers.add(trio.current_time() + delay_s, token)
                 case Probe(replica):
                     subchannel = self.subchannels.get(replica)
                     if subchannel is None or not subchannel.ready:
@@ -476,10 +392,6 @@
                 case TellPeers():
                     pass  # no platform that this program serves lets routers talk
 
-    def _set_timer(self, at: float, what: str | OpenRPC) -> None:
-        self._timer_count += 1
-        heapq.heappush(self._timers, (at, self._timer_count, what))
-
     def _start(self, request: str, replica: int, timeout_s: float) -> None:
         entry = self.open.get(request)
         if entry is None or entry.answered:
--- /dev/null
+++ b/sorreldock/routing/open_rpc.py
@@ -0,0 +1,33 @@
+"""An entry of the table of open RPCs."""
+
+from __future__ import annotations
+
+import trio
+
+from ..interface import Status
+from .subchannel import CallAttempt
+from .types import RPC
+
+NEVER_RAN = (Status.FULL, Status.CONNECT_FAILED, Status.NO_LISTENER, Status.NOT_SENT)
+
+
+class OpenRPC:
+    """An RPC from its arrival to its one final answer, and until its last attempt has ended."""
+
+    __slots__ = ("answered", "arrived_at", "attempts", "first_run_at", "out", "rpc", "statuses")
+
+    def __init__(self, rpc: RPC) -> None:
+        self.rpc = rpc
+        self.arrived_at = trio.current_time()
+        self.attempts: list[CallAttempt | None] = []
+        self.out = 0
+        self.statuses: list[Status] = []
+        self.first_run_at: float | None = None  # when the first attempt was made that may have run
+        self.answered = False
+
+    @property
+    def started(self) -> bool:
+        return any(a is not None and a.started for a in self.attempts)
+
+    def may_have_run(self) -> bool:
+        return any(s not in NEVER_RAN for s in self.statuses)
--- /dev/null
+++ b/sorreldock/routing/server_table.py
@@ -0,0 +1,91 @@
+"""The listed servers and their subchannels, kept as discovery's results say."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from ..hashing import key_of
+from ..interface import ListKind, ReplicaEntry, ReplicaList, ReplicaState
+from .subchannel import AttemptEnded, ProbeEnded, Subchannel, Update
+from .types import Connect, ResolverResult, Target
+
+
+class ServerTable:
+    """A subchannel for each listed server; none of them runs before its first order."""
+
+    def __init__(
+        self,
+        connect: Connect,
+        probed_with: str,
+        on_ended: AttemptEnded,
+        on_probed: ProbeEnded,
+        drain_grace_s: float,
+    ) -> None:
+        self.subchannels: dict[int, Subchannel] = {}
+        self._connect = connect
+        self._probed_with = probed_with
+        self._on_ended = on_ended
+        self._on_probed = on_probed
+        self._drain_grace_s = drain_grace_s
+
+    def apply(self, result: ResolverResult, tell_all: bool) -> ReplicaList | None:
+        """Let the subchannels follow a result; returns what the decisions are to hear of it, if anything.
+
+        Of a list that is known already only what differs goes on: a whole list of thousands would hold up the
+        decisions each time that a watch is opened. `tell_all`: they may have missed something.
+        """
+        known = bool(self.subchannels) and not tell_all
+        numbers = [key_of(target.uid) for target in result.targets]  # alike at every router, for the draw
+        entries = self._drop_unlisted(set(numbers)) if result.kind is not ListKind.DELTA else []
+        for number, target in zip(numbers, result.targets, strict=True):
+            subchannel = self.subchannels.get(number)
+            changed = subchannel is None or subchannel.target != target
+            if changed:
+                self._update(number, target)
+            if changed or not known:
+                entries.append(_entry(number, target))
+        if known and not entries:
+            return None
+        return ReplicaList(ListKind.DELTA if known else result.kind, tuple(entries), result.version)
+
+    def _drop_unlisted(self, listed: set[int]) -> list[ReplicaEntry]:
+        gone = [number for number in self.subchannels if number not in listed]
+        entries = [_entry(number, self.subchannels[number].target) for number in gone]
+        for number in gone:
+            self._remove(number)
+        return [replace(entry, state=ReplicaState.GONE) for entry in entries]
+
+    def _update(self, number: int, target: Target) -> None:
+        known = self.subchannels.get(number)
+        if target.state is ReplicaState.GONE:
+            self._remove(number)
+            return
+        if known is not None and known.target.endpoint != target.endpoint:
+            self._remove(number)
+            known = None
+        if known is None:
+            known = self.subchannels[number] = Subchannel(
+                number,
+                target,
+                self._connect,
+                self._probed_with,
+                self._on_ended,
+                self._on_probed,
+                self._drain_grace_s,
+            )
+        restarted = target.started_at > known.target.started_at
+        known.target, known.ready = target, target.state is ReplicaState.READY
+        known.post(Update(known.ready, restarted))
+
+    def _remove(self, number: int) -> None:
+        subchannel = self.subchannels.pop(number, None)
+        if subchannel is not None:
+            subchannel.ready = False
+            subchannel.post(Update(False, False))
+            subchannel.retire()
+
+
+def _entry(number: int, target: Target) -> ReplicaEntry:
+    return ReplicaEntry(
+        number, target.zone, target.cell, target.weight, target.state, target.started_at, target.kind
+    )
--- a/sorreldock/routing/subchannel.py
+++ b/sorreldock/routing/subchannel.py
@@ -122,8 +122,8 @@
         target: Target,
         connect: Connect,
         probed_with: str,
-        on_ended: Callable[[CallAttempt, Report, float], None],
-        on_probed: Callable[[Subchannel, Report, float], None],
+        on_ended: AttemptEnded,
+        on_probed: ProbeEnded,
         drain_grace_s: float = LONGEST_GRACE_S,
     ) -> None:
         self.number = number
@@ -257,3 +257,7 @@
         except Exception as error:  # as above
             report = Report(Status.RESET, note=f"fault in the engine client: {error!r}")
         self._on_probed(self, report, trio.current_time() - began)
+
+
+AttemptEnded = Callable[[CallAttempt, Report, float], None]  # with what came of it, and the seconds it took
+ProbeEnded = Callable[[Subchannel, Report, float], None]
