Move an open request and its attempts out of the decision module's facade

Readable code, behaviour unchanged: policy/request.py holds them with the statuses that prove a request never ran.

--- a/sorreldock/rules.py
+++ b/sorreldock/rules.py
@@ -45,12 +45,11 @@
 from .policy.draw import longest_straw, sampled_rounds, straw_length
 from .policy.group import ReplicaGroup
 from .policy.replica import Replica
+from .policy.request import UNMET, Attempt, Request
 
 # One hash for each purpose.
 REJECT, BUSY = 0xA0761D6478BD642F, 0xD6E8FEB86659FD93
 COLD, ZONE = 0xE7037ED1A0B428DB, 0x8EBC6AF09C88C6E3
-UNMET = (Status.CONNECT_FAILED, Status.NO_LISTENER, Status.NOT_SENT)  # no replica has met the request
-NEVER_RAN = (Status.FULL, *UNMET)
 FAILURES = (Status.ERROR, Status.CONNECT_FAILED, Status.NO_LISTENER, Status.RESET, Status.TIMEOUT)
 TRIES = 6  # draws in a bucket before the next one: with half of it rejected, 1 key in 64 gets that far
 MANY_HOMES = 32  # of a prefix; beyond that a session ranks a sample of them, and not all
@@ -91,40 +90,6 @@
 FEW = 2.0  # attempts out that never count as a crowd
 
 
-class Attempt:
-    """One attempt of a request."""
-
-    def __init__(self, replica: Replica, sent_at: float) -> None:
-        self.replica = replica
-        self.sent_at = sent_at
-        self.started = False
-        self.values = replica.values if sent_at - replica.load_at < 2.0 else ()
-        self.ended: Status | None = None
-
-    def may_have_run(self) -> bool:
-        return self.ended not in NEVER_RAN
-
-
-class Request:
-    """An open request and its attempts."""
-
-    def __init__(self, event: RequestArrived, cls: RequestClass, homes: int, share: float = 0.0) -> None:
-        self.event = event
-        self.cls = cls
-        self.member_key = key_of(event.session or event.request)
-        self.prefix_key = key_of(event.shared_prefix) if event.shared_prefix else self.member_key
-        self.homes = homes
-        self.share = share  # of the traffic, its prefix's, as far as this gateway has seen
-        self.attempts: list[Attempt] = []
-        self.awaited: Replica | None = None
-        self.asked: list[Replica] = []
-        self.patient_until = -math.inf
-        self.done = False
-
-    def running(self) -> bool:
-        return any(a.ended is None for a in self.attempts)
-
-
 class Gateway:
     """The decisions of one gateway: events in, actions out."""
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -55,7 +55,8 @@
     Subscribe,
     TimerFired,
 )
-from sorreldock.rules import Gateway, Request
+from sorreldock.policy.request import Request
+from sorreldock.rules import Gateway
 
 NEVER_RAN = (Status.FULL, Status.CONNECT_FAILED, Status.NO_LISTENER, Status.NOT_SENT)
 MAY_HAVE_RUN = (Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
