--- a/sorreldock/lab/simulation/runner.py
+++ b/sorreldock/lab/simulation/runner.py
@@ -36,6 +36,8 @@
 REST_S = 300.0  # virtual: a world that has not come to rest by then never does
 STOP_S = 75.0
 LAST_LINES = 12
+# What the program logs of its own faults, and of rules that it has seen itself break.
+FAULT_RECORDS = (" VIOLATION ", " FRONT ", " MODULE ", "fault in the engine client")
 
 
 @dataclass
@@ -182,9 +184,7 @@
         self._hash.update(b"\n")
         if self.keep_trace:
             self.trace.append(text)
-        if line.startswith("log ") and (
-            " FRONT " in line or " MODULE " in line or "fault in the engine client" in line
-        ):
+        if line.startswith("log ") and any(word in line for word in FAULT_RECORDS):
             self.judge.violation("fault", line[:400], line.split(" ")[1])
 
     # The fleet.
--- a/sorreldock/routing/core.py
+++ b/sorreldock/routing/core.py
@@ -479,7 +479,7 @@
             entry.rpc.key,
             trio.current_time(),
             again=entry.answered,
-            begun=entry.started or final.outcome is Outcome.SERVED,
+            begun=entry.started or final.outcome in (Outcome.SERVED, Outcome.BROKEN),
             expires_at=entry.rpc.expires_at,
             outcome=final.outcome,
         )
