Excuse in the soak what began while a killed process was still being torn down

The rig took the moment of the signal for that of the death. Now the death is noted, and only what began before it is excused; a test holds both sides.

--- a/sorreldock/lab/soak/records.py
+++ b/sorreldock/lab/soak/records.py
@@ -44,7 +44,8 @@
     router: str
     started_at: float
     told_to_end_at: float | None = None  # SIGTERM
-    killed_at: float | None = None  # SIGKILL
+    killed_at: float | None = None  # SIGKILL was sent; until `ended_at` the kernel may still accept for it
+    ended_at: float | None = None
     status: int | None = None  # of its exit
 
 
--- a/sorreldock/lab/soak/routers.py
+++ b/sorreldock/lab/soak/routers.py
@@ -128,7 +128,7 @@
         with trio.CancelScope(shield=True):
             while process.poll() is None:  # not `wait`, which would stop all clocks of this process
                 await trio.sleep(POLL_S)
-        life.status, self._process = process.returncode, None
+        life.status, life.ended_at, self._process = process.returncode, trio.current_time(), None
 
     def check(self) -> None:
         """Note a process that has ended by itself."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -130,6 +130,17 @@
     assert len(breaks(records)) == 1
 
 
+def test_a_process_that_is_being_killed_may_still_have_accepted_a_connection() -> None:
+    records = good()
+    unanswered(records)
+    records.arrivals.clear()
+    life = records.lives[0]
+    life.told_to_end_at, life.killed_at, life.ended_at = None, 9.98, 10.0  # and it was begun at 9.99
+    assert breaks(records) == []
+    life.ended_at = 9.985
+    assert len(breaks(records)) == 1
+
+
 def command(*words: str) -> subprocess.CompletedProcess[str]:
     return subprocess.run(
         [sys.executable, "-m", *words],
