--- a/review/common/caller.py
+++ b/review/common/caller.py
@@ -20,11 +20,17 @@
     )
     try:
         whole = await client.ask(request, timeout_s=float(str(order["timeout_s"])))
-        return {"result": "Whole", "attempts": whole.attempts, "retries": whole.retries}
+        return {
+            "result": "Whole",
+            "router": whole.router,
+            "attempts": whole.attempts,
+            "retries": whole.retries,
+        }
     except ClientError as error:
         return {
             "result": type(error).__name__,
             "cause": str(error),
+            "router": error.router,
             "attempts": error.attempts,
             "may_have_run": error.may_have_run,
         }
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -147,13 +147,17 @@
             "boot_ms": 0,
         }
 
+    def begin(self, trace_id: str, body: bytes) -> None:
+        """Record that a request is run from now on."""
+        self.runs.append((time.monotonic(), trace_id, body))
+        self.record.write(f"engine {self.uid}: runs {trace_id}, body {body.decode()}")
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while True:
             _, fields = await read_head(reader)
             body = await reader.readexactly(int(fields.get("content-length", "0")))
             trace_id = fields.get("x-trace-id", "")
-            self.runs.append((time.monotonic(), trace_id, body))
-            self.record.write(f"engine {self.uid}: runs {trace_id}, body {body.decode()}")
+            self.begin(trace_id, body)
             await asyncio.sleep(self.first_s_of(trace_id, body))
             head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
             writer.write(head)
