Review: each case's run.sh names the record that it writes

Cause: record.txt was written, but by the shared stand-ins alone, so nothing in a case's folder named it, and a run without the build wrote none.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -328,12 +328,12 @@
     return head.encode() + body
 
 
-def main(play: Callable[[Record, Path, bool], Awaitable[bool]], folder: Path) -> None:
-    """Play a case, and exit with its status.
+def main(play: Callable[[Record, Path, bool], Awaitable[bool]]) -> None:
+    """Play a case, write its record to the file that the first argument names, and exit with its status.
 
     `play` gets the record, a temporary folder and whether to disturb; it returns whether the rule held.
     """
-    record = Record(folder / "record.txt")
+    record = Record(Path(sys.argv[1]))
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"disruption: {'yes' if has_trouble else 'no'}")
 
