--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -165,8 +165,7 @@
         options: dict[str, Any] = {}
         if inherited is not None:  # the platform passes the clients' listening socket as descriptor 4
             number = inherited.fileno()
-            options = {"pass_fds": [number]}
-            run = f"exec 4<&{number} {number}<&-; {run}" if number != 4 else run
+            options = {"pass_fds": [4], "preexec_fn": lambda: os.dup2(number, 4)}
         with open(self.log_file, "ab") as log:
             self.process = subprocess.Popen(
                 ["/bin/sh", "-c", run],
