--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -18,7 +18,7 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from pathlib import Path
 from typing import Any
@@ -250,6 +250,9 @@
         self.uid, self.record = uid, record
         self.events, self.first_s, self.gap_s = events, first_s, gap_s
         self.padding = 0  # further characters in each event
+        self.probes = False  # whether the deployment allows them
+        # Answers a request over HTTP in place of the timing above.
+        self.serve_request: Callable[[str, bytes, asyncio.StreamWriter], Awaitable[None]] | None = None
         self.runs: list[tuple[float, str]] = []  # when the last byte arrived, and the key
         self.on_run: Callable[[str], None] = lambda key: None
         self.address = ""
@@ -317,16 +320,18 @@
                     return
                 data += more
             body, data = data[:length], data[length:]
-            if not lines[0].startswith(b"POST"):
-                writer.write(
-                    b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
-                )  # this deployment allows no probes
+            if not lines[0].startswith(b"POST"):  # a probe, where the settings allow them
+                status = b"200 OK" if self.probes else b"404 Not Found"
+                writer.write(b"HTTP/1.1 %b\r\nContent-Length: 0\r\n\r\n" % status)
                 continue
             if self.state != "Ready":
                 writer.write(b"HTTP/1.1 503 Draining\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")
                 await self.turned_away(body)
                 continue
             key = self._begin(body)
+            if self.serve_request is not None:
+                await self.serve_request(key, body, writer)
+                continue
             await asyncio.sleep(self.first_s)
             writer.write(
                 b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
