--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -250,6 +250,7 @@
         self.uid, self.record = uid, record
         self.events, self.first_s, self.gap_s = events, first_s, gap_s
         self.padding = 0  # further characters in each event
+        self.rejects = True  # turns requests away while it drains
         self.probes = False  # whether the deployment allows them
         # Answers a request over HTTP in place of the timing above.
         self.serve_request: Callable[[str, bytes, asyncio.StreamWriter], Awaitable[None]] | None = None
@@ -324,7 +325,7 @@
                 status = b"200 OK" if self.probes else b"404 Not Found"
                 writer.write(b"HTTP/1.1 %b\r\nContent-Length: 0\r\n\r\n" % status)
                 continue
-            if self.state != "Ready":
+            if self.state != "Ready" and self.rejects:
                 writer.write(b"HTTP/1.1 503 Draining\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")
                 await self.turned_away(body)
                 continue
