--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -251,6 +251,7 @@
         self.events, self.first_s, self.gap_s = events, first_s, gap_s
         self.padding = 0  # further characters in each event
         self.rejects = True  # turns requests away while it drains
+        self.events_for: Callable[[str], int] = lambda key: self.events  # of an answer over HTTP
         self.probes = False  # whether the deployment allows them
         # Answers a request over HTTP in place of the timing above.
         self.serve_request: Callable[[str, bytes, asyncio.StreamWriter], Awaitable[None]] | None = None
@@ -337,7 +338,7 @@
             writer.write(
                 b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
             )
-            for number in range(self.events):
+            for number in range(self.events_for(key)):
                 if number:
                     await asyncio.sleep(self.gap_s)
                 text = f"{key} {number} " + "x" * self.padding
