--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -143,13 +143,12 @@
         folder: Path,
         config: dict[str, Any],
         environment: dict[str, str] | None = None,
-        log_name: str = "",
     ) -> None:
         self.name, self.folder, self.config = name, folder, config
         self.listen = config["listen"]
         self.config_file = folder / f"{name}.json"
         self.config_file.write_text(json.dumps(config))
-        self.log_file = folder / f"{log_name or name}.log"
+        self.log_file = folder / f"{name}.log"
         temporary = folder / f"{name}-tmp"
         temporary.mkdir(exist_ok=True)
         self.environment = {
@@ -160,12 +159,8 @@
         }
         self.process: subprocess.Popen[bytes] | None = None
 
-    def start(self, inherited: socket.socket | None = None) -> None:
+    def start(self) -> None:
         run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
-        options: dict[str, Any] = {}
-        if inherited is not None:  # the platform passes the clients' listening socket as descriptor 4
-            number = inherited.fileno()
-            options = {"pass_fds": [4], "preexec_fn": lambda: os.dup2(number, 4)}
         with open(self.log_file, "ab") as log:
             self.process = subprocess.Popen(
                 ["/bin/sh", "-c", run],
@@ -174,7 +169,6 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                **options,
             )
 
     @property
@@ -224,20 +218,6 @@
         return 0
 
 
-async def console(address: str, call: str) -> str:
-    """Make an operator's call and return its answer; an empty text if there is none in a second."""
-    host, _, port = address.rpartition(":")
-    try:
-        async with asyncio.timeout(1.0):
-            reader, writer = await asyncio.open_connection(host, int(port))
-            writer.write(call.encode() + b"\n")
-            line = await reader.readline()
-            writer.close()
-            return line.decode().strip()
-    except (OSError, TimeoutError):
-        return ""
-
-
 class Engine:
     """A sound engine that serves both protocols, and counts what it has run by the request's key.
 
@@ -541,7 +521,7 @@
             "settings": made_settings,
             **config,
         }
-        router = RouterProcess(name, self.folder, whole, environment, config.get("log_name", ""))
+        router = RouterProcess(name, self.folder, whole, environment)
         self.routers.append(router)
         return router
 
@@ -556,6 +536,14 @@
 
     async def run() -> None:
         stage, status = Stage(Path(folder)), NOT_RUN
+
+        def stop() -> None:
+            stage.end()
+            stage.record("ended from outside")
+            os._exit(NOT_RUN)
+
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, stop)
         try:
             async with asyncio.timeout(limit_s):
                 status = HELD if await case(stage) else BROKEN
@@ -569,4 +557,8 @@
         stage.record(f"exit {status}: {verdict}")
         os._exit(status)  # the stand-ins' tasks need no end of their own
 
-    asyncio.run(run())
+    try:
+        asyncio.run(run())
+    except Exception as error:
+        print(f"could not run: {error!r}", file=sys.stderr)
+        os._exit(NOT_RUN)
