Send no unsafe request once more after a reset in the HTTP client library

Cause: outcome_of took a reset within 0.25 s of the last byte on a kept connection for a close that had crossed the request. A killed router resets too, after it has read the request. Probed on loopback: recv gives ECONNRESET and TIOCOUTQ 0 in both cases, so no client can tell them apart; after a FIN TIOCOUTQ tells what was not there at the close, and keeps doing so when a reset follows.

Change: the socket counts what the kernel accepted, and at the router's FIN what that acknowledges. A request that ends beyond it never ran; any other may have run. The window is gone. A pending error no longer counts as a proof either.

--- a/sorreldock/client/call.py
+++ b/sorreldock/client/call.py
@@ -111,7 +111,6 @@
         exchange = connection.start(self.request, body, mark)
         self.exchange = exchange
         first_send = not self.attempts
-        sent_at = math.inf
         sent = False
         write_started = False
 
@@ -133,10 +132,9 @@
         except ConnectionLost as lost:
             if write_started and not sent:
                 self._count_attempt(first_send, mark)
-            since_sent_s = anyio.current_time() - sent_at
             # A gRPC connection reports its loss to the pool itself.
             connection.lost_before_answer = self.shared.pool.protocol == "http"
-            return outcome_of(lost, connection, exchange.begun, sent, since_sent_s), None
+            return outcome_of(lost, connection, exchange), None
         if isinstance(result, Outcome):
             return result, None
         return None, result
--- a/sorreldock/client/http.py
+++ b/sorreldock/client/http.py
@@ -130,6 +130,7 @@
         self._splitter = EventSplitter(connection.max_event_bytes)
         self._events: deque[bytes] = deque()
         self._closed = False
+        self._request_end: int | None = None  # the offset behind its last byte; None before it is written
 
     def _head(self, expires_in_s: float) -> list[tuple[bytes, bytes]]:
         request, mark = self._request, self._mark
@@ -166,6 +167,7 @@
         )
         data += parser.send(h11.Data(data=self._body)) or b""
         data += parser.send(h11.EndOfMessage()) or b""
+        self._request_end = self.connection.socket.sent_bytes + len(data)
         try:
             await self.connection.socket.send(data)
         except ConnectionLost:
@@ -174,6 +176,10 @@
                 raise
         return True
 
+    @property
+    def is_unread(self) -> bool:
+        return self._request_end is None or self.connection.socket.readable_by_peer < self._request_end
+
     async def first_event(self) -> bytes | Outcome | None:
         connection = self.connection
         while isinstance(event := await connection.read_event(), h11.InformationalResponse):
--- a/sorreldock/client/kserve.py
+++ b/sorreldock/client/kserve.py
@@ -355,6 +355,10 @@
         self._end_position = connection.flush()
         return True
 
+    @property
+    def is_unread(self) -> bool:
+        return self.connection.socket.unread_by_peer()
+
     def _raise_if_lost(self) -> None:
         """Raise ConnectionLost if the connection or the stream has failed."""
         if self._lost is not None:
--- a/sorreldock/client/sockets.py
+++ b/sorreldock/client/sockets.py
@@ -33,6 +33,19 @@
         self._sock = sock
         self.closed = False
         self.all_sent = True
+        self.sent_bytes = 0  # accepted by the local kernel
+        self._failed = False  # an error has been read from the socket
+        self._acknowledged_bytes: int | None = None  # when the peer's FIN was read
+
+    @property
+    def readable_by_peer(self) -> int:
+        """An upper bound for the bytes, from the connection's first one on, that the peer's process has read.
+
+        This is what the local kernel has accepted, and after the peer's FIN what that acknowledges (RFC 9293
+        3.10.7.4): later bytes were not there when the peer closed. A reset acknowledges nothing, and a peer
+        that is killed may cause one long after it has read everything.
+        """
+        return self.sent_bytes if self._acknowledged_bytes is None else self._acknowledged_bytes
 
     async def send(self, data: bytes) -> None:
         """Send all of the data; raise ConnectionLost when the connection has ended."""
@@ -40,23 +53,50 @@
         self.all_sent = False
         while view:
             try:
-                view = view[self._sock.send(view) :]
+                count = self._sock.send(view)
             except (BlockingIOError, InterruptedError):
                 await self._wait_writable()
             except OSError as error:
+                self._failed = True
                 raise ConnectionLost(_describe(error), unread=True) from None
+            else:
+                self.sent_bytes += count
+                view = view[count:]
         self.all_sent = True
 
     async def receive(self) -> bytes:
         """Return received data, b"" at the peer's end of sending; raise ConnectionLost at a reset."""
         while True:
             try:
-                return self._sock.recv(RECEIVE_BYTES)
+                data = self._sock.recv(RECEIVE_BYTES)
             except (BlockingIOError, InterruptedError):
                 await self._wait_readable()
             except OSError as error:
-                # A reset: the peer's kernel held bytes that were not read, or didn't know the connection.
+                self._failed = True
                 raise ConnectionLost(_describe(error), unread=True) from None
+            else:
+                if not data:
+                    self._record_fin()
+                return data
+
+    def _record_fin(self) -> None:
+        """Keep the count of bytes that the peer's FIN acknowledges.
+
+        After an error was read, the kernel reports an end of stream for a reset as well.
+        """
+        if not self._failed and self._acknowledged_bytes is None:
+            unacknowledged = self._unacknowledged_bytes()
+            if unacknowledged is not None:
+                self._acknowledged_bytes = self.sent_bytes - unacknowledged
+
+    def _unacknowledged_bytes(self) -> int | None:
+        """Return the count of accepted bytes that the peer has not acknowledged; None if it is unknown."""
+        count = array.array("i", [0])
+        try:
+            fcntl.ioctl(self._sock.fileno(), termios.TIOCOUTQ, count)
+        except OSError:
+            return None
+        return count[0]
 
     def unread_by_peer(self) -> bool:
         """Return whether the peer, whose end has come, can't have read all that was sent.
@@ -81,6 +121,7 @@
         except (BlockingIOError, InterruptedError):
             return False
         except OSError:
+            self._failed = True
             return True
         return True
 
--- a/sorreldock/client/wire.py
+++ b/sorreldock/client/wire.py
@@ -10,9 +10,6 @@
 from .sockets import ConnectionLost, Socket
 from .types import Request
 
-# A reset within this time after the last byte means that the router closed while the request was in transit.
-RESET_CROSSING_S = 0.25
-
 
 @dataclass(frozen=True, slots=True)
 class AttemptMark:
@@ -65,6 +62,11 @@
         for too few; then nothing is written. Raises ConnectionLost if the connection ends.
         """
 
+    @property
+    @abstractmethod
+    def is_unread(self) -> bool:
+        """Whether it is proven that the router has not read the whole request."""
+
     @abstractmethod
     async def first_event(self) -> bytes | Outcome | None:
         """Return the first event, None for a complete answer without one, or the outcome of a failure."""
@@ -82,24 +84,16 @@
         """Release the connection, and cancel the attempt if it is not over."""
 
 
-def outcome_of(
-    lost: ConnectionLost, connection: Connection, begun: bool, sent: bool, since_sent_s: float
-) -> Outcome:
+def outcome_of(lost: ConnectionLost, connection: Connection, exchange: Exchange) -> Outcome:
     """Return the outcome of an attempt whose connection ended before the first event.
 
-    The request may be sent once more only if the router has not read it (RFC 9112 9.3.1, and the rules of
-    the platform).
+    Without a proof that the router has not read the whole request it may have run (RFC 9110 9.2.2, RFC 9112
+    9.3.1, and the rules of the platform).
     """
-    if begun:
+    if exchange.begun:
         return Outcome(OutcomeKind.MAY_HAVE_RUN, f"cut off before the first event: {lost.cause}", begun=True)
-    if not sent:
-        return Outcome(
-            OutcomeKind.NEVER_RAN,
-            lost.cause,
-            stale=connection.calls_completed > 0,
-            router_fault=connection.calls_completed == 0,
-        )
-    crossed = lost.unread and since_sent_s <= RESET_CROSSING_S
-    if connection.calls_completed and (crossed or connection.socket.unread_by_peer()):
+    if not exchange.is_unread:
+        return Outcome(OutcomeKind.MAY_HAVE_RUN, f"no answer: {lost.cause}", router_fault=True)
+    if connection.calls_completed:
         return Outcome(OutcomeKind.NEVER_RAN, f"the kept connection had ended: {lost.cause}", stale=True)
-    return Outcome(OutcomeKind.MAY_HAVE_RUN, f"no answer: {lost.cause}", router_fault=True)
+    return Outcome(OutcomeKind.NEVER_RAN, lost.cause, router_fault=True)
--- a/sorreldock/lab/simulation/library.py
+++ b/sorreldock/lab/simulation/library.py
@@ -24,24 +24,40 @@
         self._virtual = sock
         self.closed = False
         self.all_sent = True
+        self.sent_bytes = 0
+        self._failed = False
+        self._acknowledged_bytes = None
 
     async def send(self, data: bytes) -> None:
         self.all_sent = False
-        try:
-            await self._virtual.send_all(data)
-        except trio.ClosedResourceError:
-            raise ConnectionLost("the connection was closed locally") from None
-        except OSError as error:
-            raise ConnectionLost(str(error.strerror).lower(), unread=True) from None
+        view = memoryview(data)
+        while view:
+            try:
+                count = await self._virtual.send(view)
+            except trio.ClosedResourceError:
+                raise ConnectionLost("the connection was closed locally") from None
+            except OSError as error:
+                self._failed = True
+                raise ConnectionLost(str(error.strerror).lower(), unread=True) from None
+            self.sent_bytes += count
+            view = view[count:]
         self.all_sent = True
 
     async def receive(self) -> bytes:
         try:
-            return await self._virtual.recv()
+            data = await self._virtual.recv()
         except trio.ClosedResourceError:
             raise ConnectionLost("the connection was closed locally") from None
         except OSError as error:
+            self._failed = True
             raise ConnectionLost(str(error.strerror).lower(), unread=True) from None
+        if not data:
+            self._record_fin()
+        return data
+
+    def _unacknowledged_bytes(self) -> int | None:
+        inbox = self._virtual.inbox
+        return None if inbox is None else self.sent_bytes - inbox.acknowledged_by_fin
 
     def unread_by_peer(self) -> bool:
         pipe = self._virtual.outbox
--- a/sorreldock/lab/simulation/network.py
+++ b/sorreldock/lab/simulation/network.py
@@ -125,7 +125,8 @@
     def __init__(self, network: Network, name: str, src: Host, dst: Host) -> None:
         self.network, self.name, self.src, self.dst = network, name, src, dst
         self.capacity = network.conditions.pipe_capacity_bytes
-        self.bytes_written = self.bytes_read = 0
+        self.bytes_written = self.bytes_arrived = self.bytes_read = 0
+        self.acknowledged_by_fin = 0  # bytes of the reverse direction that had arrived when the FIN was sent
         self.buffer = bytearray()
         self.got_fin = self.got_reset = self.reset_by_reader = self.write_closed = self.reader_closed = False
         self.unread_discarded = False  # a reset discarded bytes that had arrived and were unread
@@ -151,6 +152,8 @@
 
     def transmit(self, segment: Segment) -> None:
         network, now = self.network, trio.current_time()
+        if segment is FIN:
+            self.acknowledged_by_fin = self.reverse.bytes_arrived
         at = now + network.draw_delay(self.src, self.dst)
         if isinstance(segment, bytes):
             bandwidth = min(network.conditions.bandwidth, self.src.bandwidth, self.dst.bandwidth)
@@ -177,6 +180,7 @@
             return
         if isinstance(segment, bytes):
             self.buffer += segment
+            self.bytes_arrived += len(segment)
             self.network.record(f"arrive {self.name} {len(segment)}")
             if self.on_arrive is not None:
                 self.on_arrive(segment)
