Send no unsafe gRPC request once more when its router dies

Cause: Pool._run closes the socket as soon as a gRPC connection has ended, before the calls ask whether their requests were read; Socket.unread_by_peer took the OSError of the closed socket for "not read". Behind it: unacknowledged bytes of the connection counted for all of its requests, and of a write that was cut short all requests counted as unwritten.

Change: KserveExchange keeps the offset behind its last byte and compares it with Socket.readable_by_peer, which the socket keeps when the FIN is read. unread_by_peer and ConnectionLost.unread are gone. When a write fails, what the router sent before it closed is read first, and a failed writer now ends the connection's task.

Related paths read: the router's attempts to servers infer nothing from a reset.

--- a/sorreldock/client/kserve.py
+++ b/sorreldock/client/kserve.py
@@ -106,7 +106,7 @@
         self._pending = self.h2.data_to_send()
         self._data_pending = anyio.Event()
         self._lost: ConnectionLost | None = None
-        self._written_bytes = 0
+        self._write_lost: ConnectionLost | None = None
         self._queued_bytes = len(self._pending)  # in total, those written included
 
     @property
@@ -128,10 +128,10 @@
 
     async def run(self) -> None:
         """Read and write until the connection ends, then end its exchanges with the reason."""
-        lost = ConnectionLost("the connection was closed locally")
+        lost = None
         try:
             async with anyio.create_task_group() as group:
-                group.start_soon(self._write)
+                group.start_soon(self._write, group.cancel_scope)
                 try:
                     await self._read()
                 except ConnectionLost as error:
@@ -140,7 +140,9 @@
                     lost = ConnectionLost(f"HTTP/2 protocol error: {error}")
                 group.cancel_scope.cancel()
         finally:
-            self._end_exchanges(lost)
+            self._end_exchanges(
+                lost or self._write_lost or ConnectionLost("the connection was closed locally")
+            )
 
     def _end_exchanges(self, lost: ConnectionLost) -> None:
         if self._lost is None:
@@ -162,6 +164,8 @@
             self.flush()
             if self.closing and not self.slots_in_use:
                 raise ConnectionLost("closed after the router's GOAWAY")
+            if self._write_lost is not None and not self.socket.is_readable():
+                raise self._write_lost
 
     def _on_goaway(self, goaway: GoAway) -> None:
         if not self.closing:
@@ -211,11 +215,7 @@
             self._data_pending.set()
         return self._queued_bytes
 
-    def has_written(self, position: int) -> bool:
-        """Return whether the output up to this total of bytes (a result of `flush`) has been written."""
-        return self._written_bytes >= position
-
-    async def _write(self) -> None:
+    async def _write(self, scope: anyio.CancelScope) -> None:
         try:
             while True:
                 while not self._pending:
@@ -223,9 +223,10 @@
                     await self._data_pending.wait()
                 data, self._pending = self._pending, b""
                 await self.socket.send(data)
-                self._written_bytes += len(data)
         except ConnectionLost as lost:
-            self._end_exchanges(lost)
+            self._write_lost = lost
+            if not self.socket.is_readable():  # else what the router sent before it closed is read first
+                scope.cancel()
 
     def ping_if_quiet(self, now: float, quiet_s: float) -> bool:
         """Ping a peer that sent nothing for `quiet_s` seconds.
@@ -263,7 +264,7 @@
         self._unacknowledged = 0
         self._headers: dict[str, str] = {}
         self._stream_id = 0
-        self._end_position = 0
+        self._request_end: int | None = None  # the offset behind its last byte; None until that is queued
         self._outcome: Outcome | None = None
         self._lost: ConnectionLost | None = None
         self._closed = False
@@ -289,8 +290,7 @@
     def connection_lost(self, lost: ConnectionLost) -> None:
         """End the exchange, unless it has ended, because its connection or stream was lost."""
         if not self.ended and self._outcome is None:
-            is_unwritten = self._stream_id == 0 or not self.connection.has_written(self._end_position)
-            self._lost = ConnectionLost(lost.cause, unread=lost.unread or is_unwritten)
+            self._lost = lost
             self.notify()
 
     def end_with(self, outcome: Outcome) -> None:
@@ -351,13 +351,15 @@
         except h2.exceptions.StreamClosedError:
             self._raise_if_lost()  # without a loss, the answer ended before the request was sent in full
         except h2.exceptions.ProtocolError as error:
-            raise ConnectionLost(str(error), unread=True) from None
-        self._end_position = connection.flush()
+            raise ConnectionLost(str(error)) from None
+        end = connection.flush()
+        if not unsent:
+            self._request_end = end
         return True
 
     @property
     def is_unread(self) -> bool:
-        return self.connection.socket.unread_by_peer()
+        return self._request_end is None or self.connection.socket.readable_by_peer < self._request_end
 
     def _raise_if_lost(self) -> None:
         """Raise ConnectionLost if the connection or the stream has failed."""
--- a/sorreldock/client/sockets.py
+++ b/sorreldock/client/sockets.py
@@ -15,11 +15,11 @@
 
 
 class ConnectionLost(Exception):
-    """The connection ended; `unread` is true if the peer can't have read all that was sent."""
+    """The connection ended, for the reason `cause`."""
 
-    def __init__(self, cause: str, unread: bool = False) -> None:
+    def __init__(self, cause: str) -> None:
         super().__init__(cause)
-        self.cause, self.unread = cause, unread
+        self.cause = cause
 
 
 class DialFailed(Exception):
@@ -32,7 +32,6 @@
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
         self.closed = False
-        self.all_sent = True
         self.sent_bytes = 0  # accepted by the local kernel
         self._failed = False  # an error has been read from the socket
         self._acknowledged_bytes: int | None = None  # when the peer's FIN was read
@@ -50,7 +49,6 @@
     async def send(self, data: bytes) -> None:
         """Send all of the data; raise ConnectionLost when the connection has ended."""
         view = memoryview(data)
-        self.all_sent = False
         while view:
             try:
                 count = self._sock.send(view)
@@ -58,11 +56,10 @@
                 await self._wait_writable()
             except OSError as error:
                 self._failed = True
-                raise ConnectionLost(_describe(error), unread=True) from None
+                raise ConnectionLost(_describe(error)) from None
             else:
                 self.sent_bytes += count
                 view = view[count:]
-        self.all_sent = True
 
     async def receive(self) -> bytes:
         """Return received data, b"" at the peer's end of sending; raise ConnectionLost at a reset."""
@@ -73,7 +70,7 @@
                 await self._wait_readable()
             except OSError as error:
                 self._failed = True
-                raise ConnectionLost(_describe(error), unread=True) from None
+                raise ConnectionLost(_describe(error)) from None
             else:
                 if not data:
                     self._record_fin()
@@ -98,22 +95,6 @@
             return None
         return count[0]
 
-    def unread_by_peer(self) -> bool:
-        """Return whether the peer, whose end has come, can't have read all that was sent.
-
-        This holds when some of it was not acknowledged by the peer's kernel, or was rejected there.
-        """
-        if not self.all_sent:
-            return True
-        try:
-            if self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-                return True
-            unacknowledged = array.array("i", [0])
-            fcntl.ioctl(self._sock.fileno(), termios.TIOCOUTQ, unacknowledged)
-            return unacknowledged[0] > 0
-        except OSError:
-            return True
-
     def is_readable(self) -> bool:
         """Return whether data, the peer's end of sending or an error can be read without waiting."""
         try:
--- a/sorreldock/lab/simulation/library.py
+++ b/sorreldock/lab/simulation/library.py
@@ -23,13 +23,11 @@
     def __init__(self, sock: VirtualSocket) -> None:
         self._virtual = sock
         self.closed = False
-        self.all_sent = True
         self.sent_bytes = 0
         self._failed = False
         self._acknowledged_bytes = None
 
     async def send(self, data: bytes) -> None:
-        self.all_sent = False
         view = memoryview(data)
         while view:
             try:
@@ -38,10 +36,9 @@
                 raise ConnectionLost("the connection was closed locally") from None
             except OSError as error:
                 self._failed = True
-                raise ConnectionLost(str(error.strerror).lower(), unread=True) from None
+                raise ConnectionLost(str(error.strerror).lower()) from None
             self.sent_bytes += count
             view = view[count:]
-        self.all_sent = True
 
     async def receive(self) -> bytes:
         try:
@@ -50,7 +47,7 @@
             raise ConnectionLost("the connection was closed locally") from None
         except OSError as error:
             self._failed = True
-            raise ConnectionLost(str(error.strerror).lower(), unread=True) from None
+            raise ConnectionLost(str(error.strerror).lower()) from None
         if not data:
             self._record_fin()
         return data
@@ -59,10 +56,6 @@
         inbox = self._virtual.inbox
         return None if inbox is None else self.sent_bytes - inbox.acknowledged_by_fin
 
-    def unread_by_peer(self) -> bool:
-        pipe = self._virtual.outbox
-        return not self.all_sent or pipe is None or pipe.reset_by_reader or pipe.reader_closed
-
     def is_readable(self) -> bool:
         return self._virtual.closed or self._virtual.is_readable()
 
