Require a proof for the client library's outcome "never ran"

An attempt that is sent again whatever its class rested on two booleans (`unread`, `stale`) that any caller could set. Outcome.never_ran takes a NonExecutionProof (not written to its last byte, not received before the router's FIN, HTTP 408, REFUSED_STREAM, GOAWAY), and an Outcome refuses NEVER_RAN or `stale` without one.

--- a/sorreldock/client/http.py
+++ b/sorreldock/client/http.py
@@ -10,11 +10,11 @@
 import anyio
 import h11
 
-from .policy.outcome import Outcome, OutcomeKind
+from .policy.outcome import NonExecutionProof, Outcome, OutcomeKind
 from .policy.refusal import parse_retry_after
 from .sockets import ConnectionLost, Socket
 from .types import Request
-from .wire import AttemptMark, Connection, Exchange
+from .wire import AttemptMark, Connection, Exchange, unread_proof
 
 REQUEST_TARGET = b"/v1/chat/completions"
 REFUSAL_STATUSES = (429, 503)
@@ -32,8 +32,10 @@
         return Outcome(OutcomeKind.REFUSED, f"refused with HTTP {status}", parse_retry_after(advice, wall_s))
     if status == 504:
         return Outcome(OutcomeKind.EXPIRED, "the deadline passed at the router: HTTP 504")
-    if status == 408:  # the router did not receive the whole request
-        return Outcome(OutcomeKind.NEVER_RAN, "the request was received too slowly: HTTP 408")
+    if status == 408:
+        return Outcome.never_ran(
+            NonExecutionProof.INCOMPLETE, "the request was received too slowly: HTTP 408"
+        )
     if 400 <= status < 500:
         return Outcome(OutcomeKind.INVALID_REQUEST, f"HTTP {status}")
     return Outcome(OutcomeKind.MAY_HAVE_RUN, f"HTTP {status}")
@@ -176,9 +178,8 @@
                 raise
         return True
 
-    @property
-    def is_unread(self) -> bool:
-        return self._request_end is None or self.connection.socket.readable_by_peer < self._request_end
+    def unread_proof(self) -> NonExecutionProof | None:
+        return unread_proof(self._request_end, self.connection.socket)
 
     async def first_event(self) -> bytes | Outcome | None:
         connection = self.connection
--- a/sorreldock/client/kserve.py
+++ b/sorreldock/client/kserve.py
@@ -28,11 +28,11 @@
     frame,
     status_of,
 )
-from .policy.outcome import Outcome, OutcomeKind
+from .policy.outcome import NonExecutionProof, Outcome, OutcomeKind
 from .policy.refusal import parse_pushback
 from .sockets import ConnectionLost, Socket
 from .types import Request
-from .wire import AttemptMark, Connection, Exchange
+from .wire import AttemptMark, Connection, Exchange, unread_proof
 
 MAX_STREAMS_PER_CONNECTION = 32  # few connections suffice, and a lost one affects few calls
 CONNECTION_WINDOW_BYTES = 4 * 1024 * 1024  # large, so that a slow reader of one answer does not stop others
@@ -173,7 +173,8 @@
             self.on_closing()
         for stream_id, exchange in list(self.exchanges.items()):
             if stream_id > goaway.last_stream_id:  # RFC 9113 6.8: the router does not process it
-                exchange.end_with(Outcome(OutcomeKind.NEVER_RAN, "not processed before GOAWAY", stale=True))
+                proof = NonExecutionProof.EXCLUDED_BY_GOAWAY
+                exchange.end_with(Outcome.never_ran(proof, "not processed before GOAWAY", stale=True))
 
     def _handle_event(self, event: h2.events.Event) -> None:
         exchange = self.exchanges.get(getattr(event, "stream_id", None) or 0)
@@ -191,7 +192,8 @@
                 exchange.notify()
             case h2.events.StreamReset() if exchange is not None:
                 if event.error_code == h2.errors.ErrorCodes.REFUSED_STREAM:
-                    exchange.end_with(Outcome(OutcomeKind.NEVER_RAN, "REFUSED_STREAM", stale=True))
+                    proof = NonExecutionProof.REFUSED_STREAM
+                    exchange.end_with(Outcome.never_ran(proof, "REFUSED_STREAM", stale=True))
                 elif not exchange.ended:
                     exchange.connection_lost(
                         ConnectionLost(f"the stream was reset with error {event.error_code}")
@@ -357,9 +359,8 @@
             self._request_end = end
         return True
 
-    @property
-    def is_unread(self) -> bool:
-        return self._request_end is None or self.connection.socket.readable_by_peer < self._request_end
+    def unread_proof(self) -> NonExecutionProof | None:
+        return unread_proof(self._request_end, self.connection.socket)
 
     def _raise_if_lost(self) -> None:
         """Raise ConnectionLost if the connection or the stream has failed."""
--- a/sorreldock/client/wire.py
+++ b/sorreldock/client/wire.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from .policy.outcome import Outcome, OutcomeKind
+from .policy.outcome import NonExecutionProof, Outcome, OutcomeKind
 from .sockets import ConnectionLost, Socket
 from .types import Request
 
@@ -62,10 +62,9 @@
         for too few; then nothing is written. Raises ConnectionLost if the connection ends.
         """
 
-    @property
     @abstractmethod
-    def is_unread(self) -> bool:
-        """Whether it is proven that the router has not read the whole request."""
+    def unread_proof(self) -> NonExecutionProof | None:
+        """Return the proof that the router has not read the whole request; None without one."""
 
     @abstractmethod
     async def first_event(self) -> bytes | Outcome | None:
@@ -92,8 +91,21 @@
     """
     if exchange.begun:
         return Outcome(OutcomeKind.MAY_HAVE_RUN, f"cut off before the first event: {lost.cause}", begun=True)
-    if not exchange.is_unread:
+    proof = exchange.unread_proof()
+    if proof is None:
         return Outcome(OutcomeKind.MAY_HAVE_RUN, f"no answer: {lost.cause}", router_fault=True)
     if connection.calls_completed:
-        return Outcome(OutcomeKind.NEVER_RAN, f"the kept connection had ended: {lost.cause}", stale=True)
-    return Outcome(OutcomeKind.NEVER_RAN, lost.cause, router_fault=True)
+        return Outcome.never_ran(proof, f"the kept connection had ended: {lost.cause}", stale=True)
+    return Outcome.never_ran(proof, lost.cause, router_fault=True)
+
+
+def unread_proof(request_end: int | None, socket: Socket) -> NonExecutionProof | None:
+    """Return the proof that the peer has not read a request up to this offset of the connection.
+
+    `request_end` is None for a request whose last byte was not given to the socket.
+    """
+    if request_end is None or socket.sent_bytes < request_end:
+        return NonExecutionProof.NOT_WRITTEN
+    if socket.readable_by_peer < request_end:
+        return NonExecutionProof.NOT_RECEIVED
+    return None
--- a/tests/test_client_policy.py
+++ b/tests/test_client_policy.py
@@ -12,7 +12,7 @@
 from sorreldock.client import Endpoint, PickRules, ReconnectRules, Request
 from sorreldock.client.http import EventSplitter
 from sorreldock.client.policy.deadline import Deadline, DurationEstimate
-from sorreldock.client.policy.outcome import Outcome, OutcomeKind
+from sorreldock.client.policy.outcome import NonExecutionProof, Outcome, OutcomeKind
 from sorreldock.client.policy.picker import Picker, choose_subset
 from sorreldock.client.policy.reconnect import ReconnectGate, TokenBucket
 from sorreldock.client.policy.refusal import Pauses, parse_pushback, parse_retry_after, retry_time
@@ -134,7 +134,8 @@
 
 def test_only_outcomes_that_are_safe_to_repeat_are_retried() -> None:
     assert decide(REFUSED).next_step is NextStep.RETRY and decide(REFUSED).at > 1.0
-    assert decide(Outcome(OutcomeKind.NEVER_RAN, "")) == Decision(NextStep.RETRY, 1.0)
+    unsent = Outcome.never_ran(NonExecutionProof.NOT_WRITTEN, "")
+    assert decide(unsent) == Decision(NextStep.RETRY, 1.0)
     assert decide(MAY_HAVE_RUN).next_step is NextStep.GIVE_UP
     safe = RetryRules(safe_classes=["alt-text"])
     assert decide(MAY_HAVE_RUN, rules=safe).next_step is NextStep.RETRY
@@ -155,12 +156,22 @@
 
 
 def test_a_request_undelivered_on_a_kept_connection_is_resent_once_without_a_retry() -> None:
-    stale = Outcome(OutcomeKind.NEVER_RAN, "", stale=True)
+    stale = Outcome.never_ran(NonExecutionProof.NOT_RECEIVED, "", stale=True)
     assert decide(stale, rules=RetryRules(max_retries=0)).next_step is NextStep.RESEND
     assert decide(stale, rules=RetryRules(max_retries=0), resends=1).next_step is NextStep.GIVE_UP
     assert decide(stale, now=11.0).next_step is NextStep.GIVE_UP
 
 
+# Guards against an unproven outcome that is taken for "never ran", and so repeated whatever the class.
+def test_an_outcome_without_a_proof_can_be_neither_never_ran_nor_stale() -> None:
+    with pytest.raises(ValueError, match="NEVER_RAN"):
+        Outcome(OutcomeKind.NEVER_RAN, "reset")
+    with pytest.raises(ValueError, match="MAY_HAVE_RUN"):
+        Outcome(OutcomeKind.MAY_HAVE_RUN, "reset", proof=NonExecutionProof.NOT_WRITTEN)
+    with pytest.raises(ValueError, match="stale"):
+        Outcome(OutcomeKind.MAY_HAVE_RUN, "reset", stale=True)
+
+
 @given(st.lists(st.booleans(), max_size=300))
 def test_retries_never_exceed_the_budgets_limit(sends: list[bool]) -> None:
     budget = RetryBudget(share=0.2, reserve=3, max_tokens=10)
