Add the lab experiment that kills a router under unsafe requests

`sorreldock lab kill` starts two routers, sends eight requests of a class that may not be repeated through the client library, kills one router at a moment between their first byte and their first event, and asks the fleet's ledger how many ran more than once; over HTTP and gRPC, with connections that end by FIN and by reset.

--- a/sorreldock/lab/ledger.py
+++ b/sorreldock/lab/ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 
@@ -13,9 +14,16 @@
     overlaps: int = 0  # attempts that began while another one of the same request was open
     open: dict[str, int] = field(default_factory=dict)  # by key: number of open attempts
     max_open: int = 0  # requests open at the same time
+    runs: Counter[str] = field(default_factory=Counter)  # attempts by key
+
+    @property
+    def run_twice(self) -> int:
+        """The number of requests that engines accepted more than once."""
+        return sum(count > 1 for count in self.runs.values())
 
     def begin(self, key: str) -> None:
         self.attempts += 1
+        self.runs[key] += 1
         if self.open.get(key):
             self.overlaps += 1
         self.open[key] = self.open.get(key, 0) + 1
--- a/sorreldock/lab/serving/fleet.py
+++ b/sorreldock/lab/serving/fleet.py
@@ -93,6 +93,7 @@
         return {
             "attempts": ledger.attempts,
             "overlaps": ledger.overlaps,
+            "run_twice": ledger.run_twice,
             "open": len(ledger.open),
             "most_open": ledger.max_open,
             "engines": engines,
--- a/sorreldock/lab/settings.py
+++ b/sorreldock/lab/settings.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import Annotated, Any, TypeVar
+from typing import Annotated, Any, Literal, TypeVar
 
 import msgspec
 
@@ -55,6 +55,7 @@
     aim_s: Positive
     deadline_s: Positive
     worth: NotNegative = 1.0
+    effect: Literal["safe", "unsafe"] = "safe"  # whether engines may run a request more than once
 
 
 class TenantSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -133,7 +134,14 @@
         "discovery": "ask",
         "tick_s": 0.002,
         "categories": [
-            {"name": c.name, "aim_s": c.aim_s, "deadline_s": c.deadline_s, "points": c.worth, "stream": True}
+            {
+                "name": c.name,
+                "aim_s": c.aim_s,
+                "deadline_s": c.deadline_s,
+                "points": c.worth,
+                "effect": c.effect,
+                "stream": True,
+            }
             for c in fleet.classes
         ],
         "policy_limits": {
--- a/sorreldock/program/optional_commands.py
+++ b/sorreldock/program/optional_commands.py
@@ -132,6 +132,26 @@
     print(json.dumps(figures) if as_json else format_columns(figures))
 
 
+@lab.command("kill")
+def lab_kill(
+    moments: Annotated[int, typer.Option(min=1, max=200, help="Kills for each protocol and end.")] = 20,
+    seed: Annotated[int, typer.Option(help="Seed of the clients' choices.")] = 1,
+    file: Annotated[Path | None, typer.Option(help="The fleet's TOML file.")] = None,
+    as_json: AsJson = False,
+) -> None:
+    """Kill a router under requests that may not be repeated; exit status 1 if any ran twice."""
+    with report_errors("lab"):
+        from ..lab import kill
+        from ..lab.settings import load
+
+        path = file or EXAMPLES / "kill.toml"
+        report = (lambda line: None) if as_json else (lambda line: print(line, file=sys.stderr))
+        figures = kill.run(path, load(path), kill.Plan(moments=moments, seed=seed), report)
+    print(json.dumps(figures) if as_json else format_columns(figures))
+    if any(side["run_twice"] for side in figures.values()):
+        raise typer.Exit(1)
+
+
 def format_columns(figures: dict[str, dict[str, Any]]) -> str:
     """Format the figures of both kinds of clients as columns, without lists and nested figures."""
     kinds = list(figures)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -241,6 +241,16 @@
         assert ask("--router", f"127.0.0.1:{port}", "--timeout", "0.3")[0] == 6
 
 
+def test_a_killed_routers_unsafe_requests_are_not_run_twice() -> None:
+    result = command("lab", "kill", "--moments", "1", "--json")
+    figures = json.loads(result.stdout)
+    assert result.returncode == 0, figures
+    assert list(figures) == ["http fin", "http reset", "kserve fin", "kserve reset"]
+    for side in figures.values():
+        assert (side["kills"], side["requests"], side["run_twice"]) == (1, 8, 0)
+        assert side["answered"] + side["may_have_run"] + side["failed"] == 8
+
+
 def test_the_demo_starts_soon_answers_requests_and_leaves_no_process_behind() -> None:
     demo = subprocess.Popen(
         [sys.executable, "-m", "sorreldock", "demo"],
