Refuse requests that streams leave no descriptors for, and count their time in the kernel

Cause: with all of the clients' descriptors in streams the listener stopped to accept, but the kernel did not, so requests waited there. No limit refused them: max_open_rpcs follows the memory. Their time began when they were read.

Change: an eighth of the clients' descriptors, four at least, is kept for refusals, counted over connections that can't be evicted; open RPCs are limited by the descriptors for attempts too; a request's time runs from the arrival of its last byte in the kernel (tcpi_last_data_recv), on both fronts.

--- a/sorreldock/program/serve.py
+++ b/sorreldock/program/serve.py
@@ -16,7 +16,7 @@
 from ..protocol.http.front import HttpFront
 from ..routing.core import Core
 from ..routing.types import ResolverResult, ServerClient
-from ..transport.budget import DescriptorBudget, PayloadBudget
+from ..transport.budget import DescriptorBudget, PayloadBudget, Use
 from ..transport.connection import dialler
 from ..transport.listener import Listener
 from ..transport.system import REAL_SYSTEM, System
@@ -146,6 +146,7 @@
             max_open_rpcs(config.memory_mb),
             probe_protocol=probe_protocol,
             wall=self.system.wall,
+            max_attempts=lambda: self.budget.max_used[Use.SERVER],
         )
         self.core.apply_resolver_result(config.known)
         self._open_fronts()
--- a/sorreldock/protocol/front.py
+++ b/sorreldock/protocol/front.py
@@ -27,6 +27,7 @@
 LINGERING_CLOSE_QUIET_S = 1.0  # after this time without a byte no more are expected
 DRAINING_FIRST_BYTE_TIMEOUT_S = 1.0  # for the first byte or stream of a new client while draining
 CLOSE_POLL_S = 0.01
+MIN_EXPIRES_IN_S = 0.001  # for a request whose deadline has passed; the decision module then fails it
 MAX_EVICTED_AT_ONCE = 8  # connections closed in one step, if their time limits have passed
 
 
@@ -75,6 +76,7 @@
     ) -> None:
         self.core = core
         self.is_ready = is_ready
+        self.budget = budget
         self.payloads = payloads
         # A dict, so that the order is the same in each replay of a simulation.
         self.clients: dict[ClientT, None] = {}
@@ -87,6 +89,7 @@
         self.queue: EvictionQueue[ClientT] = EvictionQueue()
         self.evictions: Counter[str] = Counter()  # connections closed to make room, by stage
         budget.eviction_callbacks[Use.CLIENT].append(self.evict_clients)
+        budget.evictable_counts.append(lambda: len(self.queue))
 
     @abstractmethod
     def create_client(self, connection: Connection) -> ClientT:
--- a/sorreldock/protocol/http/front.py
+++ b/sorreldock/protocol/http/front.py
@@ -20,7 +20,6 @@
 # The limit on buffered bytes of pipelined requests: one of the largest. Further ones are read and discarded,
 # since the client's close can only be detected after them; the first of them gets a 503.
 MAX_PIPELINED_BYTES = limits.MAX_BODY_BYTES + MAX_HEAD_BYTES
-MIN_EXPIRES_IN_S = 0.001  # for a request whose deadline has passed; the decision module then fails it
 IDLE_TIMEOUT_S = 5.0  # between requests; the platform requires 2 s, and clients reconnect after a close
 CLOSE = (b"connection", b"close")
 STREAM_HEAD = [(b"content-type", b"text/event-stream"), (b"cache-control", b"no-cache")]
@@ -267,7 +266,7 @@
                 data = await self.connection.receive()
                 self.since = trio.current_time()
                 self.front.queue.add(self)
-                self.arrivals.add(len(data), self.since)
+                self.arrivals.add(len(data), self.since - self.connection.last_arrival_age_s())
                 self.parser.receive_data(data)
             elif isinstance(event, h11.ConnectionClosed):
                 return None
@@ -336,9 +335,11 @@
         rpc.payload = replace(rpc.payload, body=await self.read_body(headers.get(b"content-length", b"0")))
         if self.front.is_refusing:
             raise ImmediateAnswer(503, "stopping", (CLOSE,))
+        if not self.front.budget.can_hold_answer:
+            raise ImmediateAnswer(503, "too many connections", ((b"retry-after", b"1"), CLOSE))
         # The client's timeout also ran while a pipelined request waited for the answers before it.
         arrived_at = self.arrivals.of_last_parsed(len(self.parser.trailing_data[0]))
-        rpc.expires_in_s = max(rpc.expires_in_s - (trio.current_time() - arrived_at), MIN_EXPIRES_IN_S)
+        rpc.expires_in_s = max(rpc.expires_in_s - (trio.current_time() - arrived_at), limits.MIN_EXPIRES_IN_S)
         try:
             core.submit(rpc)
             self.rpc_key = rpc.key
@@ -372,7 +373,7 @@
             self.is_discarding = True
             return
         self.pipelined_bytes += len(data)
-        self.arrivals.add(len(data), trio.current_time())
+        self.arrivals.add(len(data), trio.current_time() - self.connection.last_arrival_age_s())
         self.parser.receive_data(data)
 
     async def write_final_answer(self) -> None:
--- a/sorreldock/protocol/kserve/call.py
+++ b/sorreldock/protocol/kserve/call.py
@@ -35,6 +35,7 @@
         self.deframer = Deframer(limits.MAX_BODY_BYTES)
         self.reserved_bytes = 0  # of the payload budget
         self.unacknowledged_bytes = 0  # received, not yet acknowledged for flow control
+        self.last_arrival_age_s = 0.0  # how long the kernel held the last received bytes
         self.exceeds_budget = False  # a message didn't fit into the payload budget
         self.ended = False  # the client has half-closed the stream
         self.reset = False
@@ -78,6 +79,7 @@
     def feed(self, data: bytes, length: int) -> None:
         """Add received data; `length` is its size for flow control, with padding."""
         self.unacknowledged_bytes += length
+        self.last_arrival_age_s = self.client.wire.connection.last_arrival_age_s()
         if self.client.front.payloads.acquire(len(data)):
             self.reserved_bytes += len(data)
             self.deframer.feed(data)
@@ -210,9 +212,12 @@
         front = self.client.front
         if front.is_refusing:
             raise GrpcError(Code.UNAVAILABLE, "stopping")
+        if len(self.client.streams) == 1 and not front.budget.can_hold_answer:
+            raise GrpcError(Code.UNAVAILABLE, "too many connections", [("grpc-retry-pushback-ms", "1000")])
         request = parse(pb.ModelInferRequest(), message)
         front.check_model(request.model_name)
         rpc = rpc_from(self.head, method, message, request.id, front.settings, front.core, self)
+        rpc.expires_in_s = max(rpc.expires_in_s - self.last_arrival_age_s, limits.MIN_EXPIRES_IN_S)
         self.final, self.finished = None, trio.Event()
         try:
             front.core.submit(rpc)
--- a/sorreldock/routing/core.py
+++ b/sorreldock/routing/core.py
@@ -76,6 +76,7 @@
         max_open_rpcs: int = 512,
         probe_protocol: str = "http",
         wall: Callable[[], float] = time.time,
+        max_attempts: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self.settings = settings
         self.classes: Mapping[str, RequestClass] = {c.name: c for c in settings.classes}
@@ -92,6 +93,7 @@
         self._gateway = Gateway(settings, seed)
         self._log = log
         self.max_open_rpcs = max_open_rpcs
+        self._max_attempts = max_attempts  # that this process has descriptors for
         self._names: set[tuple[str, str]] = set()  # protocols and client-chosen names of the open RPCs
         self._submitted = 0  # RPCs so far, for unique keys
         self._timers: Timers[str | OpenRPC] = Timers()  # the decision module's tokens, and deadlines
@@ -120,7 +122,8 @@
 
         Raises Overloaded when too many RPCs are open and NameTaken when an open one has the same name.
         """
-        if len(self.open_rpcs) >= self.max_open_rpcs:  # bounds memory, since each open RPC holds its payload
+        # The memory is limited too, since each open RPC holds its payload.
+        if len(self.open_rpcs) >= min(self.max_open_rpcs, self._max_attempts()):
             raise Overloaded
         if rpc.named_by_client:
             # A server identifies requests by these names and would confuse the two.
--- a/sorreldock/transport/admission.py
+++ b/sorreldock/transport/admission.py
@@ -76,6 +76,9 @@
     def __init__(self) -> None:
         self._stages: dict[Stage, dict[CandidateT, None]] = {stage: {} for stage in STAGE_TIMEOUT_S}
 
+    def __len__(self) -> int:
+        return sum(map(len, self._stages.values()))
+
     def add(self, candidate: CandidateT) -> None:
         """Append a connection that entered a stage, or received more of a partial request, to its stage."""
         self.remove(candidate)
--- a/sorreldock/transport/budget.py
+++ b/sorreldock/transport/budget.py
@@ -22,6 +22,10 @@
     """
 
     RESERVED = 64  # for interpreter, log, listeners, discovery and trio; at most a sixth of a small limit
+    # The part of the clients' descriptors that is kept for reading and refusing requests. Without it further
+    # connections would wait in the kernel's backlog, with requests that their clients consider sent.
+    REFUSAL_DIVISOR = 8
+    MIN_FOR_REFUSALS = 4
 
     def __init__(self, limit: int) -> None:
         self._extra_reserved = 0
@@ -29,6 +33,7 @@
         self.resize(limit)
         self.used = {Use.CLIENT: 0, Use.SERVER: 0}
         self.eviction_callbacks: dict[Use, list[Callable[[], bool]]] = {Use.CLIENT: [], Use.SERVER: []}
+        self.evictable_counts: list[Callable[[], int]] = []  # of client connections, by front
         self._waiting = trio.lowlevel.ParkingLot()
 
     def reserve(self, count: int) -> None:
@@ -43,6 +48,17 @@
         if self._portion is not None:
             usable = min(usable, self._portion)
         self.max_used = {Use.CLIENT: usable // 2, Use.SERVER: usable - usable // 2}
+        self.max_answering = self.max_used[Use.CLIENT] - self._kept_for_refusals()
+
+    def _kept_for_refusals(self) -> int:
+        clients = self.max_used[Use.CLIENT]
+        return min(max(clients // self.REFUSAL_DIVISOR, self.MIN_FOR_REFUSALS), clients // 2)
+
+    @property
+    def can_hold_answer(self) -> bool:
+        """Whether the clients' connections that can't be evicted leave enough descriptors for refusals."""
+        evictable = sum(count() for count in self.evictable_counts)
+        return self.used[Use.CLIENT] - evictable <= self.max_answering
 
     def usable_in_total(self, other_processes: int) -> int:
         """Return the sockets usable by this and the other processes together; each has the same reserve."""
@@ -57,6 +73,7 @@
         if leaving and portion is not None:
             clients = self.used[Use.CLIENT]
             self.max_used = {Use.CLIENT: clients, Use.SERVER: max(portion - clients, 0)}
+            self.max_answering = clients
         elif portion != self._portion:
             self._portion = portion
             self.resize(self.limit)
--- a/sorreldock/transport/connection.py
+++ b/sorreldock/transport/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -16,6 +17,8 @@
 # States of the kernel's tcp_info (include/net/tcp_states.h) in which the peer has closed its side.
 TCP_CLOSE, TCP_CLOSE_WAIT, TCP_LAST_ACK, TCP_CLOSING = 7, 8, 9, 11
 CLOSED_BY_PEER_STATES = frozenset({TCP_CLOSE, TCP_CLOSE_WAIT, TCP_LAST_ACK, TCP_CLOSING})
+# The part of tcp_info (include/uapi/linux/tcp.h) up to tcpi_last_data_recv, in ms.
+TCP_INFO_TO_LAST_DATA = struct.Struct("=52xI")
 DISCARD_BUFFER = bytearray(65536)  # shared by all connections, for received data that is discarded
 
 
@@ -183,6 +186,13 @@
         """Whether an idle connection was closed by the peer or has received unexpected bytes."""
         return self._closed or self.readable
 
+    def last_arrival_age_s(self) -> float:
+        """Return how long ago the kernel received the last bytes; 0 if that can't be queried.
+
+        Bytes wait in the kernel before the connection is accepted, and while the program is busy.
+        """
+        return 0.0 if self._closed else last_arrival_age_s(self._sock)
+
     def close(self) -> None:
         if not self._closed:
             self._closed = True
@@ -200,6 +210,20 @@
         return False  # a failed query doesn't mean closed; the next read will report a close
 
 
+def last_arrival_age_s(sock: Any) -> float:
+    """Return the seconds since the kernel received the last bytes on a socket; 0 if that can't be queried."""
+    if not isinstance(sock, trio.socket.SocketType) or sock.family == socket.AF_UNIX:
+        return 0.0
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_TO_LAST_DATA.size)
+    except OSError:
+        return 0.0
+    if len(info) < TCP_INFO_TO_LAST_DATA.size:
+        return 0.0
+    age_ms: int = TCP_INFO_TO_LAST_DATA.unpack(info)[0]
+    return age_ms / 1000.0
+
+
 def set_no_delay(sock: Any) -> bool:
     """Turn off Nagle's algorithm; return False on failure, which is no reason to close the connection."""
     try:
--- a/tests/grpc_peers.py
+++ b/tests/grpc_peers.py
@@ -232,7 +232,8 @@
     def __init__(self, endpoint: H2Endpoint) -> None:
         self.endpoint = endpoint
 
-    async def start(self, method: str, *messages: bytes, end_stream: bool = True, **fields: str) -> Stream:
+    def create(self, method: str, **fields: str) -> Stream:
+        """Open a stream without writing anything."""
         number = self.endpoint.h2.get_next_available_stream_id()
         headers = [
             (":method", "POST"),
@@ -245,6 +246,10 @@
         ]
         self.endpoint.h2.send_headers(number, [(k, v) for k, v in headers if v])
         stream = self.endpoint.streams[number] = Stream(self.endpoint, number)
+        return stream
+
+    async def start(self, method: str, *messages: bytes, end_stream: bool = True, **fields: str) -> Stream:
+        stream = self.create(method, **fields)
         await self.endpoint.flush()
         await stream.send(*messages, end_stream=end_stream)
         return stream
