Answer all requests that were received before a stop; only the last one closes

Cause: every answer whose head was written after the stop carried `Connection: close`, though further requests had been read; h11 then ends the connection. A refusal that closes dropped the requests behind it in the same way.

Change: an answer announces the close only if no further request has arrived, read or not. What arrives over 1 s after the drain keeps no connection open, so that a client that always sends ahead does not hold a drained router. A refusal of a request that was read whole closes only if it is the last.

--- a/sorreldock/protocol/http/arrivals.py
+++ b/sorreldock/protocol/http/arrivals.py
@@ -46,3 +46,8 @@
         while len(self._chunks) > 1 and self._chunks[0].end < parsed:
             self._chunks.popleft()
         return self._chunks[0].arrived_at
+
+    def of_first_unparsed(self, unparsed: int) -> float:
+        """Return the time at which the first of the last `unparsed` received bytes arrived."""
+        parsed = self._received - unparsed
+        return next(chunk.arrived_at for chunk in self._chunks if chunk.end > parsed)
--- a/sorreldock/protocol/http/front.py
+++ b/sorreldock/protocol/http/front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from contextlib import suppress
 from dataclasses import replace
 
@@ -21,6 +22,8 @@
 # since the client's close can only be detected after them; the first of them gets a 503.
 MAX_PIPELINED_BYTES = limits.MAX_BODY_BYTES + MAX_HEAD_BYTES
 IDLE_TIMEOUT_S = 5.0  # between requests; the platform requires 2 s, and clients reconnect after a close
+# After a drain, for requests that a client sends ahead of an answer: it may go on to send for ever.
+LAST_ARRIVALS_S = 1.0
 CLOSE = (b"connection", b"close")
 STREAM_HEAD = [(b"content-type", b"text/event-stream"), (b"cache-control", b"no-cache")]
 
@@ -122,9 +125,9 @@
             raise ClientStalled("the client does not read its answer")
 
     def connection_fields(self) -> list[tuple[bytes, bytes]]:
-        """Return the fields that announce the close of the connection, if it will be closed."""
+        """Return the fields that announce the close of the connection, if it closes after this answer."""
         will_close = self.front.is_announcing_close and self.front.pass_connection is None
-        return [(b"connection", b"close")] if will_close else []
+        return [CLOSE] if will_close and not self.owes_more_answers() else []
 
     def release_body(self) -> None:
         """Release the memory budget of the request's body."""
@@ -157,9 +160,11 @@
                 # A request that has begun is still answered.
                 if self.front.is_closing and not self.has_next_request():
                     await self.pass_to_successor()
-                    if self.front.pass_connection is None:
+                    if self.front.pass_connection is not None:
+                        return
+                    if not self.connection.readable:
                         await self.close_gracefully()
-                    return
+                        return
         except (ConnectionLost, h11.LocalProtocolError) as error:
             self.log_closed(error)
         except Exception:  # a fault in the router: the client still gets an answer if none has begun
@@ -204,6 +209,17 @@
         """Return whether a part of the next request has been received."""
         return self.is_discarding or self.parser.trailing_data[0] != b"" or bool(self.connection.unread)
 
+    def owes_more_answers(self) -> bool:
+        """Return whether a further request has arrived, read or not, that is answered before a close."""
+        unparsed = len(self.parser.trailing_data[0])
+        if unparsed:
+            arrived_at = self.arrivals.of_first_unparsed(unparsed)
+        elif self.connection.readable:
+            arrived_at = trio.current_time() - self.connection.last_arrival_age_s()
+        else:
+            return False
+        return arrived_at < self.front.ignore_arrivals_from
+
     async def pass_to_successor(self) -> None:
         """Pass the connection, with its unread bytes in the kernel, to the successor process if there is one.
 
@@ -399,9 +415,14 @@
             raise ConnectionLost("the response stream broke")
 
     async def answer(self, status: int, text: str, headers: tuple[tuple[bytes, bytes], ...] = ()) -> None:
-        """Write a plain answer; `headers` with `CLOSE` also closes the connection after it."""
+        """Write a plain answer; `headers` with `CLOSE` also closes the connection after it.
+
+        The connection stays open while further requests have been received behind one that was read whole.
+        """
         if self.parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             raise ConnectionLost("an answer has already begun")
+        if self.parser.their_state is h11.DONE and self.owes_more_answers():
+            headers = tuple(field for field in headers if field != CLOSE)
         body = text.encode() + b"\n"
         head = [(b"content-type", b"text/plain"), (b"content-length", str(len(body)).encode()), *headers]
         # The rest of the body of this request will not be read.
@@ -421,6 +442,7 @@
 
     is_announcing_close = False  # answers carry `Connection: close`
     is_closing = False  # connections are closed after their answer
+    ignore_arrivals_from = math.inf  # requests that arrive later keep no connection open
 
     def create_client(self, connection: Connection) -> ClientConnection:
         return ClientConnection(self, connection)
@@ -431,8 +453,10 @@
     async def drain(self) -> None:
         """Close connections between requests, now and from now on."""
         self.is_closing = True
+        self.ignore_arrivals_from = trio.current_time() + LAST_ARRIVALS_S
         for client in self.clients:
             client.close_if_idle()
 
     def resume(self) -> None:
         self.is_announcing_close = self.is_closing = False
+        self.ignore_arrivals_from = math.inf
--- a/tests/test_shutdown_and_cancellation.py
+++ b/tests/test_shutdown_and_cancellation.py
@@ -109,6 +109,14 @@
     for count, now in ((10, 2.0), (5, 2.004), (20, 3.0), (7, 4.0)):
         arrivals.add(count, now)
     assert arrivals.latest == 4.0
+    assert [arrivals.of_first_unparsed(unparsed) for unparsed in (42, 28, 27, 8, 7, 1)] == [
+        2.0,
+        2.0,
+        3.0,
+        3.0,
+        4.0,
+        4.0,
+    ]
     assert [arrivals.of_last_parsed(unparsed) for unparsed in (32, 27, 26, 7, 6, 0)] == [
         2.0,
         2.0,
