Keep what a client sends too far ahead in the kernel instead of dropping it

Cause: the front read ahead without limit to notice the client's close, and dropped what went beyond 272 KiB or the payload budget; only the first dropped request got an answer. A request without room in the payload budget was refused with a close, which dropped the requests behind it.

Change: what does not fit stays unread until its turn. A request without room is refused at once, the rest of its body is discarded, and the next one is read. Buffered bytes are counted once.

--- a/sorreldock/protocol/http/front.py
+++ b/sorreldock/protocol/http/front.py
@@ -3,14 +3,26 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import replace
 
 import h11
 import trio
 
-from ...routing.types import RPC, FinalAnswer, NameTaken, Outcome, Overloaded, SinkClosed
+from ...routing.types import (
+    RPC,
+    FinalAnswer,
+    Log,
+    NameTaken,
+    Outcome,
+    Overloaded,
+    RPCDispatcher,
+    SinkClosed,
+)
 from ...transport.admission import Stage
+from ...transport.budget import DescriptorBudget, PayloadBudget
+from ...transport.close_watch import CloseWatch
 from ...transport.connection import Connection, ConnectionLost
 from .. import front as limits
 from ..front import Front
@@ -18,12 +30,12 @@
 from .fields import SERVED_PATH, BadRequest, HttpPayload, end_to_end, rpc_from, unique_fields
 
 MAX_HEAD_BYTES = 16 * 1024
-# The limit on buffered bytes of pipelined requests: one of the largest. Further ones are read and discarded,
-# since the client's close can only be detected after them; the first of them gets a 503.
+# The limit on buffered bytes of pipelined requests: one of the largest. Further ones stay in the kernel.
 MAX_PIPELINED_BYTES = limits.MAX_BODY_BYTES + MAX_HEAD_BYTES
 IDLE_TIMEOUT_S = 5.0  # between requests; the platform requires 2 s, and clients reconnect after a close
 # After a drain, for requests that a client sends ahead of an answer: it may go on to send for ever.
 LAST_ARRIVALS_S = 1.0
+MAX_UNREAD_BYTES = 1024 * 1024  # that the kernel is asked to hold for a client that sends too far ahead
 CLOSE = (b"connection", b"close")
 STREAM_HEAD = [(b"content-type", b"text/event-stream"), (b"cache-control", b"no-cache")]
 
@@ -40,6 +52,13 @@
         self.status, self.text, self.headers = status, text, headers
 
 
+class PayloadRefused(ImmediateAnswer):
+    """Raised to refuse a request whose body does not fit into memory, and to discard the rest of the body."""
+
+    def __init__(self) -> None:
+        super().__init__(503, "too many large requests", ((b"retry-after", b"1"),))
+
+
 class ClientConnection:
     """The actor of one client connection, and the sink of its current RPC."""
 
@@ -55,7 +74,6 @@
         self.has_sent_request = self.is_closing = False
         self.reserved_bytes = self.pipelined_bytes = 0
         self.arrivals = Arrivals(self.connected_at)
-        self.is_discarding = False  # too much was pipelined: further bytes are read and discarded
         self.final: FinalAnswer | None = None
         self.finished = trio.Event()
         self.head_sent = False
@@ -134,10 +152,11 @@
         self.front.payloads.release(self.reserved_bytes)
         self.reserved_bytes = 0
 
-    def release_pipelined(self) -> None:
-        """Release the memory budget of pipelined bytes, once they are parsed or discarded."""
-        self.front.payloads.release(self.pipelined_bytes)
-        self.pipelined_bytes = 0
+    def release_pipelined(self, left: int = 0) -> None:
+        """Release the memory budget of pipelined bytes, of which `left` are not parsed yet."""
+        released = max(self.pipelined_bytes - left, 0)
+        self.front.payloads.release(released)
+        self.pipelined_bytes -= released
 
     async def run(self) -> None:
         """Serve the connection to its end."""
@@ -149,6 +168,9 @@
                         await self.pass_to_successor()
                         return
                     await self.handle_request(request)
+                except PayloadRefused as refusal:
+                    await self.answer(refusal.status, refusal.text, refusal.headers, reads_on=True)
+                    await self.discard_body()
                 except ImmediateAnswer as answer:
                     await self.answer(answer.status, answer.text, answer.headers)
                 finally:
@@ -207,7 +229,7 @@
 
     def has_next_request(self) -> bool:
         """Return whether a part of the next request has been received."""
-        return self.is_discarding or self.parser.trailing_data[0] != b"" or bool(self.connection.unread)
+        return self.parser.trailing_data[0] != b"" or bool(self.connection.unread)
 
     def owes_more_answers(self) -> bool:
         """Return whether a further request has arrived, read or not, that is answered before a close."""
@@ -277,8 +299,6 @@
             if event is h11.NEED_DATA:
                 if self.parser.they_are_waiting_for_100_continue:
                     await self.write(self.encode(h11.InformationalResponse(status_code=100, headers=[])))
-                if self.is_discarding:
-                    raise ImmediateAnswer(503, "too much was sent ahead", (CLOSE,))
                 data = await self.connection.receive()
                 self.since = trio.current_time()
                 self.front.queue.add(self)
@@ -329,11 +349,25 @@
                 size += len(event.data)
                 if size > limits.MAX_BODY_BYTES:
                     raise ImmediateAnswer(413, "the body is larger than 256 KiB", (CLOSE,))
+                if self.pipelined_bytes:
+                    self.release_pipelined(len(self.parser.trailing_data[0]))
                 if not self.front.reserve_payload(self, len(event.data)):
-                    raise ImmediateAnswer(503, "too many large requests", ((b"retry-after", b"1"), CLOSE))
+                    raise PayloadRefused
                 parts.append(bytes(event.data))
         raise ImmediateAnswer(408, "the body did not arrive in time", (CLOSE,))
 
+    async def discard_body(self) -> None:
+        """Read the rest of a refused request's body, since further requests may follow it."""
+        self.release_body()
+        self.set_stage(Stage.IDLE)
+        with trio.move_on_after(limits.BODY_TIMEOUT_S), suppress(ImmediateAnswer):
+            while self.parser.their_state is h11.SEND_BODY:
+                with trio.move_on_after(limits.STALL_TIMEOUT_S) as stall:
+                    event = await self.next_event()
+                if stall.cancelled_caught or event is None:
+                    return
+                self.release_pipelined(len(self.parser.trailing_data[0]))
+
     async def handle_rpc(self, request: h11.Request) -> None:
         """Submit the RPC of a request to the core, and write its answer."""
         # Checked before the body is read, so that an invalid request is answered whatever its stated length.
@@ -373,24 +407,31 @@
         await self.write_final_answer()
 
     async def watch_client(self, rpc: RPC) -> None:
-        """Read on until the client disconnects, then report that to the core."""
+        """Read on within the memory limits until the client disconnects, then report that to the core."""
         reason = "the client closed its sending side"
         try:
-            while data := await self.connection.receive():
-                self.buffer_pipelined(data)
+            while self.connection.unread or await self.connection.fill():
+                if not self.buffer_pipelined(self.connection.unread):
+                    self.connection.enlarge_receive_buffer(MAX_UNREAD_BYTES)
+                    await self.front.close_watch.wait_closed(self.connection)
+                    break
+                self.parser.receive_data(await self.connection.receive())
         except ConnectionLost as error:
             reason = str(error)
         self.front.core.cancel_rpc(rpc, reason)
 
-    def buffer_pipelined(self, data: bytes) -> None:
-        """Buffer bytes of pipelined requests in the parser, within the memory limits, or discard them."""
-        fits = self.pipelined_bytes + len(data) <= MAX_PIPELINED_BYTES
-        if self.is_discarding or not fits or not self.front.payloads.acquire(len(data)):
-            self.is_discarding = True
-            return
-        self.pipelined_bytes += len(data)
-        self.arrivals.add(len(data), trio.current_time() - self.connection.last_arrival_age_s())
-        self.parser.receive_data(data)
+    def buffer_pipelined(self, count: int) -> bool:
+        """Account for bytes of pipelined requests that go to the parser; return False if they don't fit.
+
+        Those that don't fit stay where they are until their turn, the rest of them in the kernel, so that
+        flow control holds back the client.
+        """
+        fits = self.pipelined_bytes + count <= MAX_PIPELINED_BYTES
+        if not fits or not self.front.payloads.acquire(count):
+            return False
+        self.pipelined_bytes += count
+        self.arrivals.add(count, trio.current_time() - self.connection.last_arrival_age_s())
+        return True
 
     async def write_final_answer(self) -> None:
         """Write the final answer of the RPC, or the rest of it if it has begun."""
@@ -414,10 +455,17 @@
                 await self.close_gracefully()
             raise ConnectionLost("the response stream broke")
 
-    async def answer(self, status: int, text: str, headers: tuple[tuple[bytes, bytes], ...] = ()) -> None:
+    async def answer(
+        self,
+        status: int,
+        text: str,
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+        reads_on: bool = False,
+    ) -> None:
         """Write a plain answer; `headers` with `CLOSE` also closes the connection after it.
 
-        The connection stays open while further requests have been received behind one that was read whole.
+        So does an answer before the end of the request's body, unless `reads_on`. The connection stays open
+        while further requests have been received behind one that was read whole.
         """
         if self.parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             raise ConnectionLost("an answer has already begun")
@@ -425,8 +473,7 @@
             headers = tuple(field for field in headers if field != CLOSE)
         body = text.encode() + b"\n"
         head = [(b"content-type", b"text/plain"), (b"content-length", str(len(body)).encode()), *headers]
-        # The rest of the body of this request will not be read.
-        if self.parser.their_state is h11.SEND_BODY and CLOSE not in headers:
+        if self.parser.their_state is h11.SEND_BODY and not reads_on and CLOSE not in headers:
             headers, head = (*headers, CLOSE), [*head, CLOSE]
         if CLOSE not in headers:
             head += self.connection_fields()
@@ -440,6 +487,17 @@
 class HttpFront(Front[ClientConnection]):
     """The front for HTTP/1.1."""
 
+    def __init__(
+        self,
+        core: RPCDispatcher,
+        is_ready: Callable[[], bool],
+        budget: DescriptorBudget,
+        payloads: PayloadBudget,
+        log: Log,
+    ) -> None:
+        super().__init__(core, is_ready, budget, payloads, log)
+        self.close_watch = CloseWatch()
+
     is_announcing_close = False  # answers carry `Connection: close`
     is_closing = False  # connections are closed after their answer
     ignore_arrivals_from = math.inf  # requests that arrive later keep no connection open
--- a/sorreldock/transport/connection.py
+++ b/sorreldock/transport/connection.py
@@ -5,6 +5,7 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import Any
 
 import trio
@@ -186,6 +187,14 @@
         """Whether an idle connection was closed by the peer or has received unexpected bytes."""
         return self._closed or self.readable
 
+    def enlarge_receive_buffer(self, size: int) -> None:
+        """Let the kernel hold at least `size` received bytes, as far as the system allows.
+
+        The peer's close can be noticed behind that many bytes that stay unread.
+        """
+        with suppress(OSError):
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
     def last_arrival_age_s(self) -> float:
         """Return how long ago the kernel received the last bytes; 0 if that can't be queried.
 
