Refuse gRPC streams beyond the limit alone instead of ending their connection

Cause: h2 enforced the limit of 64 and raises for the 65th stream, with the events of the whole read; each such error ended the connection. RFC 9113 5.1.2: a stream error.

Change: h2 advertises the limit without enforcing it, and the connection answers a stream beyond it with REFUSED_STREAM.

Not done: the table of all stream errors of RFC 9113 5.4; malformed fields still end the connection.

--- a/sorreldock/protocol/kserve/connection.py
+++ b/sorreldock/protocol/kserve/connection.py
@@ -136,12 +136,8 @@
         match event:
             case h2.events.RequestReceived():
                 assert event.stream_id is not None and event.headers is not None
-                if self.final_goaway_sent or (self.goaway_sent and not self.front.accepting):
-                    # The GOAWAY excluded this stream, so the client may send the request elsewhere. If the
-                    # client has reset it in the same read, there is nothing to refuse, and the error must
-                    # not end the other streams of the connection.
-                    with suppress(h2.exceptions.StreamClosedError):
-                        self.wire.h2.reset_stream(event.stream_id, h2.errors.ErrorCodes.REFUSED_STREAM)
+                if self.excludes_new_streams:
+                    self.refuse_stream(event.stream_id)
                     return
                 headers = [(str(k), str(v)) for k, v in event.headers]
                 stream = self.streams[event.stream_id] = ClientStream(self, event.stream_id, headers)
@@ -170,6 +166,21 @@
             case _:
                 pass
 
+    @property
+    def excludes_new_streams(self) -> bool:
+        """Whether a new stream is beyond the limit, or beyond a GOAWAY."""
+        is_after_goaway = self.final_goaway_sent or (self.goaway_sent and not self.front.accepting)
+        return is_after_goaway or len(self.streams) >= MAX_STREAMS
+
+    def refuse_stream(self, stream_id: int) -> None:
+        """Refuse a stream unprocessed, so that the client may send its request elsewhere.
+
+        If the client has reset it in the same read, there is nothing to refuse, and the error must not end
+        the other streams of the connection.
+        """
+        with suppress(h2.exceptions.StreamClosedError):
+            self.wire.h2.reset_stream(stream_id, h2.errors.ErrorCodes.REFUSED_STREAM)
+
     async def close_if_silent(self) -> None:
         """Close a connection that sends no HTTP/2 preface within the time limit for a head.
 
--- a/sorreldock/protocol/kserve/grpc.py
+++ b/sorreldock/protocol/kserve/grpc.py
@@ -13,6 +13,24 @@
 from ...transport.connection import Connection, ConnectionLost
 from .. import front as limits
 
+MAX_STREAM_ID = 2**31 - 1
+
+
+class AdvertisedSettings(h2.settings.Settings):
+    """Settings of this side whose limit on concurrent streams h2 advertises but does not enforce.
+
+    h2 ends the connection for a stream beyond the limit, with the requests that arrived in the same read. RFC
+    9113 5.1.2 makes it an error of that stream alone, so the owner of the connection refuses the stream.
+    """
+
+    @property
+    def max_concurrent_streams(self) -> int:
+        return MAX_STREAM_ID
+
+    @max_concurrent_streams.setter
+    def max_concurrent_streams(self, value: int) -> None:
+        self[h2.settings.SettingCodes.MAX_CONCURRENT_STREAMS] = value
+
 
 class H2Wire:
     """A connection with its HTTP/2 state; change the state, then call `flush`."""
@@ -28,7 +46,7 @@
         }
         if client_side:
             values[h2.settings.SettingCodes.ENABLE_PUSH] = 0
-        self.h2.local_settings = h2.settings.Settings(client_side, values)
+        self.h2.local_settings = AdvertisedSettings(client_side, values)
         self.h2.initiate_connection()
         self._goaway_filter = GoAwayFilter(preface=not client_side)
         self._queued_frames = b""
--- a/tests/test_kserve.py
+++ b/tests/test_kserve.py
@@ -5,6 +5,7 @@
 from collections import Counter
 
 import grpc
+import h2.errors
 import pytest
 import trio
 import trio.testing
@@ -14,6 +15,7 @@
     DualProtocolServer,
     Stream,
     answer_in_full,
+    frame_message,
     grpc_client,
     request,
     stream_response,
@@ -26,6 +28,7 @@
 from sorreldock.program.phases import Phase
 from sorreldock.protocol import server_client
 from sorreldock.protocol.kserve import connection as kserve_connection
+from sorreldock.protocol.kserve.connection import MAX_STREAMS
 from sorreldock.protocol.kserve.grpc import FrontWire
 from sorreldock.transport.connection import Connection
 
@@ -440,3 +443,27 @@
     assert (
         pb.DESCRIPTOR.services_by_name["GRPCInferenceService"].full_name == "inference.GRPCInferenceService"
     )
+
+
+# Guards against a connection that ends, with all its requests unanswered, for one stream beyond the limit.
+@trio_test
+async def test_streams_beyond_the_limit_are_refused_alone() -> None:
+    count = 100  # RFC 9113 6.5.2: what a client may open before it knows the limit
+    async with (
+        running_router(DualProtocolServer(), operator=BOTH_PROTOCOLS) as router,
+        grpc_client(router, reads=False) as client,
+        trio.open_nursery() as nursery,
+    ):
+        streams = []
+        for number in range(count):
+            streams.append(client.create("ModelInfer", grpc_timeout="10S"))
+            message = frame_message(request(name=f"r{number}"))
+            client.endpoint.h2.send_data(streams[-1].number, message, end_stream=True)
+        await client.endpoint.flush()
+        nursery.start_soon(client.endpoint.read)
+        statuses = [(await stream.answer())[0] for stream in streams]
+        further = await client.call("ModelInfer", request(name="further"))
+        nursery.cancel_scope.cancel()
+    refused = [stream.number for stream in streams if stream.reset == h2.errors.ErrorCodes.REFUSED_STREAM]
+    assert statuses[:MAX_STREAMS] == [Code.OK] * MAX_STREAMS and further[0] == Code.OK
+    assert refused and statuses.count(Code.OK) + len(refused) == count
