Let a client receive the end of its answer before its connection closes at a stop

Cause: close_when_written closed the connection as soon as the kernel had the bytes; the client's next WINDOW_UPDATE met a closed socket, and the reset discarded the rest. On related paths the HTTP front closed idle connections at a stop in the same way, and lingering_close ended after 1 s without a byte from a client that was still receiving.

The process waits for answers that are being delivered.

--- a/sorreldock/protocol/front.py
+++ b/sorreldock/protocol/front.py
@@ -51,6 +51,10 @@
     def owes_answer(self) -> bool:
         """Whether a request has been read, fully or partly, whose answer is not fully written."""
 
+    @property
+    def is_delivering(self) -> bool:
+        """Whether the client's machine has not acknowledged everything that was written."""
+
     async def run(self) -> None: ...
 
     def evict(self) -> None:
@@ -169,8 +173,11 @@
                 self.log("notice", "CROWD", "connections closed to make room", **counts)
 
     async def wait_closed(self, within_s: float) -> None:
-        """Wait until all answers are written, then at most `within_s` for the connections to end."""
-        while any(client.owes_answer for client in self.clients):
+        """Wait until all answers are delivered, then at most `within_s` for the connections to end.
+
+        A client that acknowledges nothing more is given up by its connection.
+        """
+        while any(client.owes_answer or client.is_delivering for client in self.clients):
             await trio.sleep(CLOSE_POLL_S)
         with trio.move_on_after(within_s):
             while self.clients:
--- a/sorreldock/protocol/http/front.py
+++ b/sorreldock/protocol/http/front.py
@@ -83,6 +83,10 @@
     def owes_answer(self) -> bool:
         return self.stage in (Stage.PARTIAL, Stage.ANSWERING)
 
+    @property
+    def is_delivering(self) -> bool:
+        return self.connection.unacknowledged_bytes() > 0
+
     def close_if_idle(self) -> bool:
         if self.is_closing:  # its last answer may be unread, and an immediate close could reset it
             return False
@@ -166,6 +170,12 @@
                     request = await self.next_request()
                     if request is None:
                         await self.pass_to_successor()
+                        if (
+                            self.front.is_closing
+                            and self.front.pass_connection is None
+                            and self.is_delivering
+                        ):
+                            await self.close_gracefully()
                         return
                     await self.handle_request(request)
                 except PayloadRefused as refusal:
--- a/sorreldock/protocol/kserve/connection.py
+++ b/sorreldock/protocol/kserve/connection.py
@@ -36,6 +36,7 @@
         self.wire = FrontWire(connection, MAX_STREAMS)
         self.streams: dict[int, ClientStream] = {}
         self.scope = trio.CancelScope()
+        self.reading = trio.CancelScope()
         self.last_received_at = trio.current_time()
         self.idle_since = self.last_received_at
         self.has_sent_request = False
@@ -59,6 +60,10 @@
     def owes_answer(self) -> bool:
         return self.wire.has_unsent or any(stream.owes_answer for stream in self.streams.values())
 
+    @property
+    def is_delivering(self) -> bool:
+        return self.wire.connection.unacknowledged_bytes() > 0
+
     @property
     def since(self) -> float:
         return self.idle_since
@@ -84,33 +89,37 @@
         if (self.final_goaway_sent or (self.goaway_sent and not self.front.accepting)) and not self.streams:
             self.should_close.set()
 
-    async def close_when_written(self) -> None:
-        """Close the connection once `should_close` is set and the last status has been written."""
+    async def stop_reading_when_written(self) -> None:
+        """Stop reading once `should_close` is set and the last status has been written."""
         await self.should_close.wait()
-        with trio.move_on_after(1.0):
-            await self.wire.flush()
-            await self.wire.wait_written()
-        self.scope.cancel()
+        await self.wire.flush()
+        await self.wire.wait_written()
+        self.reading.cancel()
 
     async def run(self) -> None:
         try:
             with self.scope:
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self.wire.run_writer)
-                    nursery.start_soon(self.keep_alive)
-                    nursery.start_soon(self.close_if_silent)
-                    nursery.start_soon(self.close_when_written)
-                    await self.read(nursery)
-                    with trio.move_on_after(1.0):
-                        await self.wire.wait_written()  # the GOAWAY after a protocol error
-                    if self.has_protocol_error:
-                        await self.wire.connection.lingering_close(
-                            limits.LINGERING_CLOSE_TIMEOUT_S, limits.LINGERING_CLOSE_QUIET_S
-                        )
-                    nursery.cancel_scope.cancel()
+                await self.serve_streams()
+                if self.reading.cancel_called or self.has_protocol_error:
+                    await self.wire.connection.lingering_close(
+                        limits.LINGERING_CLOSE_TIMEOUT_S, limits.LINGERING_CLOSE_QUIET_S
+                    )
         except* (ConnectionLost, h2.exceptions.ProtocolError):
             pass  # the client has closed the connection, or does not use HTTP/2
 
+    async def serve_streams(self) -> None:
+        """Serve the client's streams until it ends the connection, or this side has written its last byte."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.wire.run_writer)
+            nursery.start_soon(self.keep_alive)
+            nursery.start_soon(self.close_if_silent)
+            nursery.start_soon(self.stop_reading_when_written)
+            with self.reading:
+                await self.read(nursery)
+            with trio.move_on_after(1.0):
+                await self.wire.wait_written()  # the GOAWAY after a protocol error
+            nursery.cancel_scope.cancel()
+
     async def read(self, nursery: trio.Nursery) -> None:
         """Handle what the client sends until the connection ends; `nursery` runs its streams."""
         await self.wire.flush()
--- a/sorreldock/transport/connection.py
+++ b/sorreldock/transport/connection.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import array
+import fcntl
 import socket
 import struct
+import termios
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from typing import Any
@@ -131,20 +134,26 @@
         self._outgoing.consume(sent)
 
     async def lingering_close(self, timeout_s: float, quiet_s: float) -> None:
-        """Shut down sending, then read and discard until the peer closes or sends nothing for `quiet_s`.
+        """Shut down sending, then read and discard until the peer has closed or received everything.
 
+        It has received everything once its machine has acknowledged it and it sends nothing for `quiet_s`.
         Protects the last answer: if the socket is closed while bytes still arrive, the system sends a reset,
-        on which the peer may discard what it has not read yet.
+        on which the peer may discard what it has not read yet. A peer on a slow link gets the time that it
+        needs; it is given up when it has acknowledged nothing more for `timeout_s`.
         """
         try:
-            with trio.move_on_after(timeout_s):
+            with trio.move_on_after(timeout_s) as progress:
                 await retry_transient(self._shut_down)
+                unacknowledged = self.unacknowledged_bytes()
                 while True:
                     with trio.move_on_after(quiet_s) as quiet:
                         if not await retry_transient(lambda: self._sock.recv_into(DISCARD_BUFFER)):
                             return
-                    if quiet.cancelled_caught:
+                    before, unacknowledged = unacknowledged, self.unacknowledged_bytes()
+                    if quiet.cancelled_caught and not unacknowledged:
                         return
+                    if unacknowledged < before:
+                        progress.deadline = trio.current_time() + timeout_s
         except (OSError, trio.ClosedResourceError):
             pass  # the peer has closed, or the connection was evicted
 
@@ -187,6 +196,17 @@
         """Whether an idle connection was closed by the peer or has received unexpected bytes."""
         return self._closed or self.readable
 
+    def unacknowledged_bytes(self) -> int:
+        """Return how many written bytes the peer's machine has not acknowledged; 0 if that is unknown."""
+        if self._closed or not isinstance(self._sock, trio.socket.SocketType):
+            return 0
+        count = array.array("i", [0])
+        try:
+            fcntl.ioctl(self._sock.fileno(), termios.TIOCOUTQ, count)
+        except OSError:
+            return 0
+        return count[0]
+
     def enlarge_receive_buffer(self, size: int) -> None:
         """Let the kernel hold at least `size` received bytes, as far as the system allows.
 
--- a/tests/test_shutdown_and_cancellation.py
+++ b/tests/test_shutdown_and_cancellation.py
@@ -9,7 +9,7 @@
 import pytest
 import trio
 import trio.testing
-from grpc_peers import BOTH_PROTOCOLS, DualProtocolServer, Stream, grpc_client
+from grpc_peers import BOTH_PROTOCOLS, Client, DualProtocolServer, H2Endpoint, Stream, grpc_client
 from grpc_peers import request as grpc_request
 from peers import Discovery, ReceivedRequest, ScriptedServer, running_router, stream_until, trio_test
 from test_bad_days import all_of, raw
@@ -450,3 +450,80 @@
             decode_result({"rev": version + 1, "all": False, "targets": [ready]})
         )
         assert all(s.ready for s in subchannels.values())
+
+
+class SlowStream:
+    """A client's stream that reads little at a time, through a small receive buffer."""
+
+    def __init__(self, sock: trio.socket.SocketType) -> None:
+        self.sock = sock
+        self.stream = trio.SocketStream(sock)
+        self.send_all, self.aclose = self.stream.send_all, self.stream.aclose
+
+    async def receive_some(self, max_bytes: int) -> bytes:
+        await trio.sleep(0.01)
+        return bytes(await self.stream.receive_some(1024))
+
+
+async def connect_slowly(address: str) -> SlowStream:
+    host, port = address.rsplit(":", 1)
+    sock = trio.socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    await let_tasks_run()  # until the router listens
+    await sock.connect((host, int(port)))
+    return SlowStream(sock)
+
+
+LONG_EVENT = b'data: "' + b"x" * 60_000 + b'"\n\n'
+
+
+# Guards against an answer whose end is reset under a client on a slow link, after all of it was written.
+@trio_test
+async def test_a_slow_grpc_reader_gets_the_end_of_its_answer_after_sigterm() -> None:
+    written = trio.Event()
+
+    async def answer_long(stream: Stream) -> None:
+        await stream.start()
+        await stream.send(LONG_EVENT)
+        await stream.finish(0)
+        written.set()
+
+    async with running_router(DualProtocolServer(answer_long), operator=BOTH_PROTOCOLS) as router:
+        endpoint = H2Endpoint(await connect_slowly(router.program.addresses["kserve"]), client=True)  # type: ignore[arg-type]
+        call = await Client(endpoint).start("ModelInfer", grpc_request(), grpc_timeout="10S")
+        await written.wait()
+        front = router.program.fronts["kserve"]
+        while any(client.owes_answer for client in front.clients):  # all is written to the kernel
+            await trio.sleep(0.005)
+        router.program.linger_s = 0.0
+        router.program.lifecycle.stop_requested.set()
+        await trio.sleep(0.2)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(endpoint.read)
+            assert await call.answer() == (0, [LONG_EVENT])
+            nursery.cancel_scope.cancel()
+        await endpoint.stream.aclose()
+
+
+# The same over HTTP, where the client sends its next request while it still reads the answer.
+@trio_test
+async def test_a_slow_reader_gets_the_end_of_its_answer_though_it_sends_a_request_after_sigterm() -> None:
+    async def answer_long(received: ReceivedRequest) -> None:
+        await received.start(LONG_EVENT)
+        await received.end()
+
+    async with running_router(ScriptedServer(answer_long)) as router:
+        stream = await connect_slowly(router.address)
+        await stream.send_all(raw())
+        front = router.program.fronts["http"]
+        while not any(client.has_sent_request and not client.owes_answer for client in front.clients):
+            await trio.sleep(0.005)
+        router.program.linger_s = 0.0
+        router.program.lifecycle.stop_requested.set()
+        while router.program.lifecycle.phase not in (Phase.DRAINING, Phase.STOPPED):
+            await trio.sleep(0.005)
+        await let_tasks_run()
+        await stream.send_all(raw(x_trace_id=b"late"))
+        received = await all_of(stream)
+        await stream.aclose()
+    assert LONG_EVENT in received and received.endswith(LAST_CHUNK)
