Let both processes of an upgrade listen on the KServe port

Seen (second review): the new process of an upgrade exited with 1, "Address already in use", where an operator's file has the KServe front on.

Cause: the platform holds only the HTTP socket for both processes; the KServe port is bound by the program, and the old process still listens on it.

Change: where the platform holds the HTTP socket, that port is bound with SO_REUSEPORT. The new test starts a second process beside the first one, with real processes; it fails on the commit before with the message above.

--- a/sorreldock/program/serve.py
+++ b/sorreldock/program/serve.py
@@ -229,7 +229,13 @@
             self.fronts["kserve"] = KserveFront(
                 settings, __version__, self.core, self.is_ready, self.budget, self.payloads, self.log
             )
-            self.listeners["kserve"] = Listener(kserve.listen, self.budget, self.system)
+            # The platform holds the HTTP socket alone, so both processes of a takeover bind this port.
+            self.listeners["kserve"] = Listener(
+                kserve.listen,
+                self.budget,
+                self.system,
+                shares_port=self.config.inherited_fd is not None,
+            )
 
     async def _open_console(self, nursery: trio.Nursery) -> None:
         from . import console  # imported here, so that a router without a console doesn't load it
--- a/sorreldock/transport/listener.py
+++ b/sorreldock/transport/listener.py
@@ -29,10 +29,13 @@
         budget: DescriptorBudget,
         system: System = REAL_SYSTEM,
         inherited: int | None = None,
+        shares_port: bool = False,
     ) -> None:
+        """`shares_port`: another process of this router may listen on the same port during a takeover."""
         host, port = split_address(address)
         self._family = socket.AF_INET6 if ":" in host else socket.AF_INET
         self._inherited = inherited is not None
+        self._shares_port = shares_port
         self._sock: Any = None if inherited is None else system.inherited(inherited)  # set by `bind`
         self._is_listening = False
         self._system = system
@@ -76,6 +79,8 @@
         try:
             # A restarted router binds its address while the kernel still has connections of the killed one.
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            if self._shares_port:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
             await sock.bind(self._host_and_port)
         except BaseException:
             sock.close()
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -17,6 +17,8 @@
 import h11
 import pytest
 import trio
+from grpc_peers import Client as GrpcClient
+from grpc_peers import H2Endpoint
 from peers import (
     FIELDS,
     Discovery,
@@ -30,6 +32,8 @@
 from test_program import ROOT, read_log_until, write_config
 
 from sorreldock.interface import ListKind, ReplicaState
+from sorreldock.kserve.framing import Code
+from sorreldock.lab.processes import free_port
 from sorreldock.program import handover
 from sorreldock.program.takeover import SOCKET_NAME, Link, Takeover
 from sorreldock.routing.types import ResolverResult, Target
@@ -139,6 +143,37 @@
         assert not (tmp_path / SOCKET_NAME).exists()
 
 
+# Guards against an upgrade that ends the new process, since the old one listens on the KServe port.
+@trio_test
+async def test_both_processes_of_a_takeover_serve_the_kserve_front(tmp_path: Path) -> None:
+    async with running_platform(tmp_path) as platform:
+        address = f"127.0.0.1:{free_port()}"
+        operator = tmp_path / "operator.toml"
+        operator.write_text(
+            f'[kserve]\nlisten = "{address}"\nmodels = ["desc"]\n[engines]\nprotocols = ["http", "kserve"]\n'
+        )
+        platform.environment["SORRELDOCK_OPERATOR"] = str(operator)
+        first, _ = await platform.start()
+        assert await is_live(address)
+        second, _ = await platform.start()
+        first.send_signal(signal.SIGTERM)
+        assert await first.wait() == 0
+        assert await is_live(address) and second.returncode is None
+        second.send_signal(signal.SIGTERM)
+        assert await second.wait() == 0
+
+
+async def is_live(address: str) -> bool:
+    """Ask the KServe front at this address whether it is live."""
+    host, port = address.rsplit(":", 1)
+    async with await trio.open_tcp_stream(host, int(port)) as stream, trio.open_nursery() as nursery:
+        endpoint = H2Endpoint(stream, client=True)
+        nursery.start_soon(endpoint.read)
+        status, _ = await GrpcClient(endpoint).call("ServerLive", b"")
+        nursery.cancel_scope.cancel()
+    return status == Code.OK
+
+
 @pytest.mark.parametrize("fault", ["stale file", "stuck", "another version", "noise"])
 @trio_test
 async def test_an_unusable_predecessor_leaves_the_new_process_working_alone(
