Cut a silent stream only after 4.85 s while its server is listed and reachable

Cause: EVENT_GAP_TIMEOUT_S was 3.5 s for every server; the platform allows 5 s.

Change: 4.85 s, which leaves the 0.15 s of a hold-up; 3.5 s stay where discovery no longer lists the server or its port refused the last connection. Alike for HTTP and KServe. The reader of an HTTP answer is a class of its own, so that a wait can be started anew.

--- a/sorreldock/protocol/http/client.py
+++ b/sorreldock/protocol/http/client.py
@@ -149,6 +149,41 @@
             pass  # the usage event is optional, and a server may write anything there
 
 
+class AnswerReader:
+    """Reads the events of an answer whose head has arrived."""
+
+    def __init__(self, connection: ServerConnection, load: dict[Metric, float]) -> None:
+        self.splitter = EventSplitter()
+        self.splitter.load = load
+        self._connection = connection
+        self._chunk = bytearray()
+        self._has_ended = False
+
+    async def next_events(self) -> bytes:
+        """Return the next whole events; nothing at the end of the answer.
+
+        May be cancelled and called again. Raises ConnectionLost for an answer that is cut off and
+        ServerProtocolError for an invalid one.
+        """
+        events = b""
+        while not events and not self._has_ended:
+            event = await self._connection.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                self._has_ended = True
+                return self.splitter.remainder()
+            if not isinstance(event, h11.Data):
+                raise ConnectionLost("connection closed within the stream")
+            # A chunk is used once it is complete: one with a wrong size or without an end holds no valid
+            # events.
+            self._chunk += event.data
+            if len(self._chunk) > server_client.MAX_EVENT_BYTES:
+                raise ServerProtocolError("chunk too large")
+            if event.chunk_end or not self._connection.chunked:
+                events = self.splitter.feed(bytes(self._chunk))
+                self._chunk.clear()
+        return events
+
+
 class HttpServerClient(PooledServerClient[ServerConnection, ServerConnection]):
     """Attempts and probes at one server over HTTP/1.1."""
 
@@ -201,32 +236,15 @@
             if head.status_code in REQUEST_ERROR_STATUSES:
                 return AttemptResult(Status.OK, load, note=note, server_status=head.status_code)
             return AttemptResult(Status.FULL if never_ran else Status.ERROR, load, note=note)
-        splitter = EventSplitter()
-        splitter.load = load
-        timeout_s, chunk = server_client.FIRST_EVENT_TIMEOUT_S, bytearray()
-        while True:
-            with trio.move_on_after(timeout_s) as timeout:
-                events = b""
-                while not events:
-                    event = await exchange.next_event()
-                    if isinstance(event, h11.EndOfMessage):
-                        if remainder := splitter.remainder():
-                            await progress.forward_event(remainder)
-                        return AttemptResult(Status.OK, splitter.load, splitter.cached_tokens)
-                    if not isinstance(event, h11.Data):
-                        raise ConnectionLost("connection closed within the stream")
-                    # A chunk is used once it is complete: one with a wrong size or without an end holds no
-                    # valid events.
-                    chunk += event.data
-                    if len(chunk) > server_client.MAX_EVENT_BYTES:
-                        raise ServerProtocolError("chunk too large")
-                    if event.chunk_end or not exchange.chunked:
-                        events = splitter.feed(bytes(chunk))
-                        chunk.clear()
-            if timeout.cancelled_caught:
-                raise ConnectionLost("no event in time within the stream")
-            timeout_s = server_client.EVENT_GAP_TIMEOUT_S
+        answer = AnswerReader(exchange, load)
+        with trio.move_on_after(server_client.FIRST_EVENT_TIMEOUT_S) as timeout:
+            events = await answer.next_events()
+        if timeout.cancelled_caught:
+            raise ConnectionLost("no event in time within the stream")
+        while events:
             await progress.forward_event(events)
+            events = await self.read_within_event_gap(progress, answer.next_events)
+        return AttemptResult(Status.OK, answer.splitter.load, answer.splitter.cached_tokens)
 
     async def send_probe(self, connection: ServerConnection) -> AttemptResult:
         await connection.send(
--- a/sorreldock/protocol/kserve/client.py
+++ b/sorreldock/protocol/kserve/client.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Iterator
 from contextlib import contextmanager, suppress
+from functools import partial
 
 import h2.errors
 import h2.events
@@ -114,12 +115,11 @@
                 await wire.flush()
                 await self.step()
 
-    async def next_message(self, silence: trio.CancelScope | None = None) -> bytes | None:
-        """Return the next message of the answer; None at its end.
+    async def next_message(self) -> bytes | None:
+        """Return the next message of the answer; None at its end. May be cancelled and called again.
 
-        Once part of a message has arrived, the rest must follow within a limit set on `silence`.
+        Once part of a message has arrived, the rest must follow within a limit.
         """
-        silence_deadline = silence.deadline if silence is not None else math.inf
         while True:
             message = self.deframer.next()
             if message is not None:
@@ -128,11 +128,11 @@
                 if self.deframer.partial:
                     raise ConnectionLost("the last message is incomplete")
                 return None
-            if silence is not None and self.deframer.partial:
-                silence.deadline = min(
-                    silence_deadline, trio.current_time() + server_client.FIRST_EVENT_TIMEOUT_S
-                )
-            await self.step()
+            limit_s = server_client.FIRST_EVENT_TIMEOUT_S if self.deframer.partial else math.inf
+            with trio.move_on_after(limit_s) as rest:
+                await self.step()
+            if rest.cancelled_caught:
+                raise ConnectionLost("the rest of a message did not arrive")
 
     def status(self) -> tuple[int, str]:
         """Return the status code and message of the answer."""
@@ -210,19 +210,17 @@
         return exchange
 
     async def answer(self, exchange: Exchange, progress: AttemptProgress) -> AttemptResult:
-        has_started = False
-        while True:
-            with (
-                trio.move_on_after(server_client.EVENT_GAP_TIMEOUT_S if has_started else math.inf) as silence,
-                translate_errors(),
-            ):
-                message = await exchange.next_message(silence)
-            if silence.cancelled_caught:
-                raise ConnectionLost("the server was silent within a stream")
-            if message is None:
-                return self._result_of(exchange, has_started)
-            has_started = True
+        message = await self._next_message(exchange)
+        has_started = message is not None
+        while message is not None:
             await progress.forward_event(message)
+            message = await self.read_within_event_gap(progress, partial(self._next_message, exchange))
+        return self._result_of(exchange, has_started)
+
+    @staticmethod
+    async def _next_message(exchange: Exchange) -> bytes | None:
+        with translate_errors():
+            return await exchange.next_message()
 
     @staticmethod
     def _result_of(exchange: Exchange, has_started: bool) -> AttemptResult:
--- a/sorreldock/protocol/server_client.py
+++ b/sorreldock/protocol/server_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections.abc import Awaitable, Callable
 from typing import Generic, TypeVar
 
 import trio
@@ -12,10 +13,12 @@
 from ..transport.connection import ConnectionLost, DialFailed, LocalShortage, NoListener
 from ..transport.pool import ConnectionPool, PooledConnection
 
-# The time without an event after which a response stream counts as broken. Without it clients would wait for
-# ever for a server whose machine has failed, since it sends no reset. Longer than a slow server's pauses
-# between events, shorter than the 5 s that the platform allows.
-EVENT_GAP_TIMEOUT_S = 3.5
+# The time without an event after which a response stream counts as broken. Without it clients would wait
+# for ever for a server whose machine has failed, since it sends no reset. The platform lets a client wait
+# for 5 s, of which the program may be held up for 0.15 s.
+EVENT_GAP_TIMEOUT_S = 4.85
+# The same for a server that discovery no longer lists or whose machine refuses connections.
+GONE_EVENT_GAP_TIMEOUT_S = 3.5
 PROBE_TIMEOUT_S = 0.25
 # The time from the first byte of an answer to its first whole event, which servers send together with the
 # head. Without this limit an incomplete head or garbage on a connection that stays open would use up the
@@ -39,6 +42,7 @@
     return Status.NO_LISTENER if isinstance(error, NoListener) else Status.CONNECT_FAILED
 
 
+T = TypeVar("T")
 ConnectionT = TypeVar("ConnectionT", bound=PooledConnection)
 ExchangeT = TypeVar("ExchangeT")
 
@@ -51,6 +55,7 @@
 
     def __init__(self, pool: ConnectionPool[ConnectionT]) -> None:
         self._pool = pool
+        self._refuses_connections = False  # whether the last dial met a closed port
         self.close_idle = pool.close_idle
         self.discard = pool.discard
         self.trim = pool.trim
@@ -67,9 +72,31 @@
     async def send_probe(self, connection: ConnectionT) -> AttemptResult:
         """Send a probe and return its result, with the load report of the server."""
 
-    async def run_attempt(self, rpc: RPC, progress: AttemptProgress) -> AttemptResult:
+    async def read_within_event_gap(self, progress: AttemptProgress, read: Callable[[], Awaitable[T]]) -> T:
+        """Return what `read` returns, the next part of a stream; raise ConnectionLost when it takes too long.
+
+        `read` is started anew once if it is cancelled, so it must keep what it has read.
+        """
+        with trio.move_on_after(min(GONE_EVENT_GAP_TIMEOUT_S, EVENT_GAP_TIMEOUT_S)):
+            return await read()
+        if not (self._refuses_connections or progress.is_server_removed()):
+            with trio.move_on_after(max(EVENT_GAP_TIMEOUT_S - GONE_EVENT_GAP_TIMEOUT_S, 0.0)):
+                return await read()
+        raise ConnectionLost("no event in time within the stream")
+
+    async def _connect(self) -> ConnectionT:
+        """Return a connection of the pool; raise DialFailed."""
         try:
             connection = await self._pool.get()
+        except DialFailed as error:
+            self._refuses_connections = isinstance(error, NoListener)
+            raise
+        self._refuses_connections = False
+        return connection
+
+    async def run_attempt(self, rpc: RPC, progress: AttemptProgress) -> AttemptResult:
+        try:
+            connection = await self._connect()
         except DialFailed as error:
             return AttemptResult(dial_status(error), note=str(error))
         completed = False
@@ -100,7 +127,7 @@
     async def probe(self) -> AttemptResult:
         with trio.move_on_after(PROBE_TIMEOUT_S):
             try:
-                connection = await self._pool.get()
+                connection = await self._connect()
             except DialFailed as error:
                 return AttemptResult(dial_status(error), note=str(error))
             completed = False
--- a/sorreldock/routing/subchannel.py
+++ b/sorreldock/routing/subchannel.py
@@ -68,6 +68,9 @@
     def first_event_timeout_s(self) -> float:
         return self._first_event_timeout_s
 
+    def is_server_removed(self) -> bool:
+        return self.subchannel.is_retired
+
     async def forward_event(self, data: bytes) -> None:
         if not self.started:
             # Too late if the core has given the final answer already, or the deadline expired in the same
@@ -135,6 +138,7 @@
         # Whether the actor runs. It starts with the first order, since most servers of a large fleet are
         # never used.
         self.running = False
+        self.is_retired = False  # discovery no longer lists the server
         self._create_clients = create_clients
         self._clients: dict[str, ServerClient] | None = None
         self._probe_protocol = probe_protocol
@@ -181,6 +185,7 @@
 
     def retire(self) -> None:
         """Accept no further orders: the actor ends after its last attempt."""
+        self.is_retired = True
         if self.running:
             self._orders[0].close()
 
--- a/sorreldock/routing/types.py
+++ b/sorreldock/routing/types.py
@@ -139,6 +139,9 @@
     def first_event_timeout_s(self) -> float:
         """Return how long the router waits for the first event, counted from the last `may_send`."""
 
+    def is_server_removed(self) -> bool:
+        """Return whether discovery no longer lists the server."""
+
     async def forward_event(self, data: bytes) -> None:
         """Forward whole events of the answer; raise SinkClosed if the client can't receive them."""
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -10,6 +10,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+import h11
 import pytest
 import trio
 import trio.testing
@@ -36,7 +37,7 @@
 from sorreldock.protocol.http import freshness
 from sorreldock.protocol.http import front as http_front
 from sorreldock.routing.subchannel import Attempt, Subchannel
-from sorreldock.transport.connection import Connection
+from sorreldock.transport.connection import Connection, NoListener
 from sorreldock.transport.pool import ConnectionPool
 
 ONE = (
@@ -192,6 +193,47 @@
     assert (answer.body, answer.whole) == (EVENTS[0], False)
 
 
+# Guards against a stream that is cut off though its server is alive and goes on within the time allowed.
+@pytest.mark.parametrize("state", ["listed", "removed", "refusing"])
+@trio_test
+async def test_a_stream_that_pauses_is_cut_off_early_only_if_its_server_is_gone(
+    state: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(server_client, "GONE_EVENT_GAP_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(server_client, "EVENT_GAP_TIMEOUT_S", 5.0)
+
+    async def pause(received: ReceivedRequest) -> None:
+        await received.start(EVENTS[0])
+        await trio.sleep(0.6)
+        with suppress(trio.BrokenResourceError):
+            await received.send_events(*EVENTS[1:])
+            await received.end()
+
+    server = ScriptedServer(pause)
+    async with running_router(server) as router:
+        wire = await router.start_post()
+        assert (await wire.next()).status_code == 200
+        [subchannel] = router.program.core.subchannels.values()
+        client = subchannel.clients["http"]
+        if state == "removed":
+            subchannel.is_retired = True
+        elif state == "refusing":
+            monkeypatch.setattr(client._pool, "get", refuse_connection)  # type: ignore[attr-defined]
+            assert (await client.probe()).status is Status.NO_LISTENER
+        data = b""
+        is_whole = True
+        try:
+            while not isinstance(event := await wire.next(), h11.EndOfMessage):
+                data += event.data
+        except (h11.RemoteProtocolError, trio.BrokenResourceError):
+            is_whole = False
+    assert is_whole is (state == "listed") and data == b"".join(EVENTS if is_whole else EVENTS[:1])
+
+
+async def refuse_connection() -> None:
+    raise NoListener("refused")
+
+
 @trio_test
 async def test_a_client_connection_is_kept_alive_between_requests() -> None:
     async with running_router(ScriptedServer()) as router:
--- a/tests/test_kserve.py
+++ b/tests/test_kserve.py
@@ -236,6 +236,32 @@
         assert await client.call("ModelStreamInfer", request()) == (Code.INTERNAL, [stream_response(1)])
 
 
+# The same as over HTTP: a pause within the time that the platform allows does not end a stream.
+@trio_test
+async def test_a_grpc_stream_that_pauses_goes_on_while_its_server_is_listed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(server_client, "GONE_EVENT_GAP_TIMEOUT_S", 0.1)
+
+    async def pause(stream: Stream) -> None:
+        await stream.start()
+        await stream.send(stream_response(1))
+        await trio.sleep(0.4)
+        await stream.send(stream_response(2))
+        await stream.finish(0)
+
+    async with (
+        running_router(DualProtocolServer(pause), operator=BOTH_PROTOCOLS) as router,
+        grpc_client(router) as client,
+    ):
+        messages = [stream_response(1), stream_response(2)]
+        assert await client.call("ModelStreamInfer", request()) == (Code.OK, messages)
+
+
+def test_a_stream_may_pause_for_as_long_as_the_platform_allows_less_a_hold_up() -> None:
+    assert pytest.approx(5.0 - 0.15) == server_client.EVENT_GAP_TIMEOUT_S
+
+
 @trio_test
 async def test_a_slow_client_slows_only_its_own_stream() -> None:
     sent = 0
