Split the HTTP front into the front, its connections and their end

Moved only: connections to connection.py, that state to closing.py, the front stays. No import circle: connections get what they share as arguments. Behaviour unchanged; tests of the fronts, the takeover and the simulation pass.

--- a/sorreldock/lab/simulation/mutants.py
+++ b/sorreldock/lab/simulation/mutants.py
@@ -15,7 +15,7 @@
 from ...program import serve
 from ...protocol import server_client
 from ...protocol.front import Front
-from ...protocol.http.front import ClientConnection
+from ...protocol.http.connection import ClientConnection
 from ...protocol.server_client import PooledServerClient
 from ...routing import core as core_module
 from ...routing.core import Core
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -34,8 +34,7 @@
 from sorreldock.protocol import front as limits
 from sorreldock.protocol import server_client
 from sorreldock.protocol.http import client as http_client
-from sorreldock.protocol.http import freshness
-from sorreldock.protocol.http import front as http_front
+from sorreldock.protocol.http import closing, freshness
 from sorreldock.routing.subchannel import Attempt, Subchannel
 from sorreldock.transport.connection import Connection, NoListener
 from sorreldock.transport.pool import ConnectionPool
@@ -427,7 +426,7 @@
             router.program.lifecycle.stop_requested.set()
         else:
             await send_command(router, "drain")
-        while not all(front.is_announcing_close for front in router.program.fronts.values()):
+        while not all(front.closing.is_announced for front in router.program.fronts.values()):
             await trio.sleep(0.005)
         finish.set()
         received = await all_of(connection.stream)
@@ -440,7 +439,7 @@
 async def test_a_client_that_always_sends_ahead_does_not_keep_its_connection_after_a_drain(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(http_front, "LAST_ARRIVALS_S", 0.2)
+    monkeypatch.setattr(closing, "LAST_ARRIVALS_S", 0.2)
     async with running_router(ScriptedServer()) as router:
         connection = await router.connect()
         await connection.stream.send_all(raw(x_trace_id=b"first") + raw(x_trace_id=b"second"))
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -84,7 +84,7 @@
         program = router.program
         await send_command(router, "drain")
         assert await send_command(router, "resume") == "ok serving\n"
-        assert not any(front.is_closing for front in program.fronts.values())  # type: ignore[attr-defined]
+        assert not any(front.closing.has_begun for front in program.fronts.values())  # type: ignore[attr-defined]
         await send_command(router, "drain")
         program.linger_s = 0.2
         program.lifecycle.stop_requested.set()
--- a/tests/test_permissions.py
+++ b/tests/test_permissions.py
@@ -13,7 +13,7 @@
 
 from sorreldock.interface import Status
 from sorreldock.protocol.http.client import HttpServerClient
-from sorreldock.protocol.http.front import ClientConnection
+from sorreldock.protocol.http.connection import ClientConnection
 from sorreldock.routing.permissions import Audit, Denial, Rule, may_begin, may_write, write_until
 from sorreldock.routing.types import Outcome
 from sorreldock.transport.budget import DescriptorBudget, Use
--- a/tests/test_shutdown_and_cancellation.py
+++ b/tests/test_shutdown_and_cancellation.py
@@ -17,7 +17,7 @@
 from sorreldock.kserve.framing import Code
 from sorreldock.program import serve as program_serve
 from sorreldock.program.phases import Phase
-from sorreldock.protocol.http import front as http_front
+from sorreldock.protocol.http import connection as http_connection
 from sorreldock.protocol.http.arrivals import Arrivals
 from sorreldock.protocol.http.discovery import decode_result
 from sorreldock.transport.budget import DescriptorBudget, Use
@@ -88,7 +88,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(send_ahead)
             await trio.sleep(0.2)  # all that fits is read, the first answer still open
-            assert router.program.payloads.used <= http_front.MAX_PIPELINED_BYTES
+            assert router.program.payloads.used <= http_connection.MAX_PIPELINED_BYTES
             finish.set()
             with trio.fail_after(10.0):
                 while received.count(LAST_CHUNK) < len(names):
