Call a pushing agent again within what the drain grace leaves

Change: 0.1 s at most, the grace of 0.25 s less a hold-up of 0.15 s. The agent serves this router alone. The new test fails on the commit before.

--- a/sorreldock/protocol/http/freshness.py
+++ b/sorreldock/protocol/http/freshness.py
@@ -25,8 +25,9 @@
 MAX_START_PAUSE_S = 0.5 * MAX_AGE_S
 MAX_DOUBLINGS = 8
 MIN_PERIOD_SHARE = 0.2  # a slot nearer than this share of the period is skipped
-# Pushed lists come from an agent that serves this router only, so calls need not be spread.
-INITIAL_PUSHED_PAUSE_S, MAX_PUSHED_PAUSE_S = 0.02, 1.0
+# Pushed lists come from an agent that serves this router only, so calls need not be spread. What the agent
+# has counts as received at once: the pause and a hold-up of 0.15 s must fit into the drain grace of 0.25 s.
+INITIAL_PUSHED_PAUSE_S, MAX_PUSHED_PAUSE_S = 0.02, 0.1
 
 
 class WatchSchedule:
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -50,6 +50,9 @@
         now += schedule.retry_pause(now)
 
 
+DRAIN_GRACE_S, HOLD_UP_S = 0.25, 0.15
+
+
 @pytest.mark.parametrize("must_ask_in_s", [2.0, 10.0, 3600.0])
 @pytest.mark.parametrize("failure", FAILURES)
 def test_a_change_is_known_in_time_whatever_call_has_failed(failure: str, must_ask_in_s: float) -> None:
@@ -73,6 +76,18 @@
         assert at + schedule.retry_pause(at) + MAX_QUEUE_S < 16.0 + MAX_AGE_S
 
 
+# Guards against requests to servers that drain since an agent returned while the router paused between calls.
+def test_an_agent_that_refuses_calls_is_called_again_within_what_the_drain_grace_leaves() -> None:
+    schedule = WatchSchedule(True, 10.0)
+    now = schedule.first_pause(0.0, 0.5)
+    pauses = []
+    for _ in range(100):
+        schedule.call_started(now)
+        pauses.append(schedule.retry_pause(now))  # refused at once
+        now += pauses[-1]
+    assert max(pauses) <= DRAIN_GRACE_S - HOLD_UP_S + 1e-9 and len(pauses) / now < 15.0
+
+
 def test_a_fleet_calls_an_unavailable_discovery_rarely_and_spread_over_time() -> None:
     calls: list[float] = []
     for router in range(200):
