--- a/sorreldock/lab/processes.py
+++ b/sorreldock/lab/processes.py
@@ -95,9 +95,11 @@
         """Start the process, without waiting until it serves."""
         environment = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
         environment["RELAY_CONFIG"] = str(self.directory / f"{self.name}.json")
+        # Not an option: without any, the command line's library isn't loaded, as on the platform.
+        environment["SORRELDOCK_OPERATOR"] = str(self.directory / f"{self.name}.toml")
         with open(self.directory / f"{self.name}.log", "ab") as log:
             self.process = start_command(
-                ["serve", "--operator", str(self.directory / f"{self.name}.toml")],
+                ["serve"],
                 environment,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
--- a/sorreldock/program/cli.py
+++ b/sorreldock/program/cli.py
@@ -11,6 +11,7 @@
 from .. import __version__
 from . import early_reload, optional_commands, start
 from .config import Config, ConfigError, load
+from .hostile_command import add_to as add_hostile
 from .simulation_commands import add_to as add_simulation
 from .soak_command import add_to as add_soak
 
@@ -62,6 +63,7 @@
 app.command()(optional_commands.demo)
 add_simulation(optional_commands.lab)
 add_soak(optional_commands.lab)
+add_hostile(optional_commands.lab)
 app.add_typer(optional_commands.lab, name="lab")
 
 
