Release the record of an answered request instead of holding it until its deadline

Callers saw: a process passes its memory limit while clients send much and leave; 340 MB of 96 in 5 s. Cause: each request's deadline timer kept its record, with the client's connection and all that this had read ahead, until the deadline, which a client may name an hour ahead. Class of bug: what has ended is held for as long as a peer says. Change: timers can be cancelled; the deadline's is, once the answer has begun or is given.

--- a/sorreldock/routing/core.py
+++ b/sorreldock/routing/core.py
@@ -135,7 +135,7 @@
         rpc.key = f"{rpc.name.replace(':', '_')}.{self._submitted}"
         rpc.expires_at = trio.current_time() + rpc.expires_in_s - min(MARGIN_S, 0.1 * rpc.expires_in_s)
         entry = self.open_rpcs[rpc.key] = OpenRPC(rpc)
-        self._timers.add(rpc.expires_at + OVERDUE_S, entry)
+        entry.deadline = self._timers.add(rpc.expires_at + OVERDUE_S, entry)
         self._mailbox.post(
             RequestArrived(
                 request=rpc.key,
@@ -224,6 +224,9 @@
     def _on_first_event(self, attempt: Attempt) -> None:
         latency = attempt.first_event_s = trio.current_time() - attempt.created_at
         attempt.rpc.payload = None  # the RPC gets no further attempt
+        entry = self.open_rpcs[attempt.rpc.key]
+        if entry.deadline is not None:  # an answer that has begun has no deadline
+            self._timers.cancel(entry.deadline)
         self._mailbox.post(FirstToken(attempt.rpc.key, attempt.number, attempt.subchannel.number, latency))
 
     def _on_attempt_written(self, attempt: Attempt) -> None:
@@ -511,7 +514,9 @@
             outcome=final.outcome,
         )
         entry.answered = True
-        entry.rpc.payload = None  # the deadline's timer keeps a reference to the entry
+        entry.rpc.payload = None
+        if entry.deadline is not None:
+            self._timers.cancel(entry.deadline)
         entry.rpc.sink.finish(final)
         if final.outcome is not Outcome.SERVED:
             self._log(
--- a/sorreldock/routing/open_rpc.py
+++ b/sorreldock/routing/open_rpc.py
@@ -6,6 +6,7 @@
 
 from ..interface import Status
 from .subchannel import Attempt
+from .timers import Timer
 from .types import RPC
 
 # Results of attempts that no server has run.
@@ -15,7 +16,16 @@
 class OpenRPC:
     """The state of an RPC, kept until it is answered and its last attempt has ended."""
 
-    __slots__ = ("answered", "arrived_at", "attempts", "first_run_at", "in_flight", "rpc", "statuses")
+    __slots__ = (
+        "answered",
+        "arrived_at",
+        "attempts",
+        "deadline",
+        "first_run_at",
+        "in_flight",
+        "rpc",
+        "statuses",
+    )
 
     def __init__(self, rpc: RPC) -> None:
         self.rpc = rpc
@@ -26,6 +36,7 @@
         # The creation time of the first ended attempt that a server may have run.
         self.first_run_at: float | None = None
         self.answered = False
+        self.deadline: Timer[str | OpenRPC] | None = None  # cancelled once the answer has begun
 
     @property
     def started(self) -> bool:
