Take an answer for complete only at the protocol's own end, not at that of its framing

Cause: AnswerReader took h11's EndOfMessage (last chunk, length reached, even the mere end of the connection) for the end of the answer; the gRPC client took any grpc-status from any header fields. To a client of HTTP/1.0, whose answer has no chunks, a broken answer ended like a complete one. Class of bug: one side's framing is taken for a proof about the answer. Change: completeness.py defines a complete answer for each protocol; the attempts and the client library both apply it. What ends otherwise is a failed attempt before its first event and a broken answer after it; a connection of HTTP/1.0 is reset then. Stand-ins of five tests that ended streams without data: [DONE] or sent two messages on a unary call now end them as the protocol has it; the assertions are as they were, with the last event added.

--- a/sorreldock/client/http.py
+++ b/sorreldock/client/http.py
@@ -10,6 +10,7 @@
 import anyio
 import h11
 
+from ..completeness import IncompleteAnswer, check_event_stream, contains_end_event
 from .policy.outcome import NonExecutionProof, Outcome, OutcomeKind
 from .policy.refusal import parse_retry_after
 from .sockets import ConnectionLost, Socket
@@ -131,7 +132,8 @@
         self._request, self._body, self._mark = request, body, mark
         self._splitter = EventSplitter(connection.max_event_bytes)
         self._events: deque[bytes] = deque()
-        self._closed = False
+        self._closed = self._has_end_event = False
+        self._incomplete: ConnectionLost | None = None  # the answer's framing has ended before its last event
         self._request_end: int | None = None  # the offset behind its last byte; None before it is written
 
     def _head(self, expires_in_s: float) -> list[tuple[bytes, bytes]]:
@@ -215,24 +217,42 @@
 
     async def next_event(self) -> bytes | None:
         while not self._events:
+            if self._incomplete is not None:
+                raise self._incomplete
             if self.is_complete:
                 return None
             self._accept(await self.connection.read_event())
             # Parts that were received in the same read need no further wait.
-            while not self.is_complete and (event := self.connection.buffered_event()) is not None:
+            while not self._has_ended and (event := self.connection.buffered_event()) is not None:
                 self._accept(event)
         return self._events.popleft()
 
+    @property
+    def _has_ended(self) -> bool:
+        return self.is_complete or self._incomplete is not None
+
     def _accept(self, event: h11.Event | type[h11.PAUSED]) -> None:
         if isinstance(event, h11.Data):
-            self._events.extend(self._splitter.feed(bytes(event.data)))
+            for data in self._splitter.feed(bytes(event.data)):
+                self._has_end_event = self._has_end_event or contains_end_event(data)
+                self._events.append(data)
         elif isinstance(event, h11.EndOfMessage):
-            self.is_complete = True
-            if rest := self._splitter.take_rest():
-                self._events.append(rest)
+            self._end()
         else:
             raise ConnectionLost("closed by the router before the last chunk")
 
+    def _end(self) -> None:
+        """Mark the answer as complete at the end of its framing; `next_event` raises if it is not."""
+        rest = self._splitter.take_rest()
+        try:
+            check_event_stream(self._has_end_event or contains_end_event(rest), rest)
+        except IncompleteAnswer as error:
+            self._incomplete = ConnectionLost(str(error))
+            return
+        self.is_complete = True
+        if rest:
+            self._events.append(rest)
+
     def close(self, now: float) -> None:
         if self._closed:
             return
--- a/sorreldock/client/kserve.py
+++ b/sorreldock/client/kserve.py
@@ -15,6 +15,7 @@
 import h2.settings
 from google.protobuf.message import DecodeError
 
+from ..completeness import IncompleteAnswer, check_grpc_answer
 from ..kserve import kserve_pb2 as pb
 from ..kserve.framing import (
     MAX_HEADER_LIST_BYTES,
@@ -185,8 +186,11 @@
                     self.acknowledge(flow_controlled_bytes, event.stream_id or 0)
                 else:
                     exchange.receive_data(event.data or b"", flow_controlled_bytes)
-            case h2.events.ResponseReceived() | h2.events.TrailersReceived() if exchange is not None:
-                exchange.receive_headers({str(k): str(v) for k, v in event.headers or []})
+            case h2.events.ResponseReceived() if exchange is not None:
+                is_trailers_only = event.stream_ended is not None
+                exchange.receive_headers({str(k): str(v) for k, v in event.headers or []}, is_trailers_only)
+            case h2.events.TrailersReceived() if exchange is not None:
+                exchange.receive_trailers({str(k): str(v) for k, v in event.headers or []})
             case h2.events.StreamEnded() if exchange is not None:
                 exchange.ended = True
                 exchange.notify()
@@ -264,7 +268,8 @@
         self._message = frame(encode_request(request, body, mark.trace_id))
         self._deframer = Deframer(connection.max_event_bytes)
         self._unacknowledged = 0
-        self._headers: dict[str, str] = {}
+        self._http_status = ""
+        self._trailers: dict[str, str] = {}
         self._stream_id = 0
         self._request_end: int | None = None  # the offset behind its last byte; None until that is queued
         self._outcome: Outcome | None = None
@@ -280,8 +285,13 @@
         self._changed.set()
         self._changed = anyio.Event()
 
-    def receive_headers(self, fields: dict[str, str]) -> None:
-        self._headers.update(fields)
+    def receive_headers(self, headers: dict[str, str], is_trailers_only: bool) -> None:
+        self._http_status = headers.get(":status", "")
+        if is_trailers_only:
+            self.receive_trailers(headers)
+
+    def receive_trailers(self, trailers: dict[str, str]) -> None:
+        self._trailers = trailers
         self.notify()
 
     def receive_data(self, data: bytes, flow_controlled_bytes: int) -> None:
@@ -393,16 +403,30 @@
                 return None
             self._raise_if_lost()
             if self.ended:
-                code, text = status_of(self._headers)
-                if code == Code.OK and not self._deframer.partial:
+                code, text = status_of(self._trailers)
+                if code == Code.OK:
+                    self._check_complete()
                     self.is_complete = True
                     return None
                 if not awaits_first:
                     raise ConnectionLost(f"grpc-status {code}: {text}")
-                self._outcome = outcome_of_status(code, text, self._headers)
+                self._outcome = outcome_of_status(code, text, self._trailers)
                 return None
             await changed.wait()
 
+    def _check_complete(self) -> None:
+        """Raise ConnectionLost if an answer that has ended with status OK is not complete."""
+        try:
+            check_grpc_answer(
+                self._http_status,
+                has_trailers=bool(self._trailers),
+                has_partial_message=self._deframer.partial,
+                messages=0,
+                is_unary=False,
+            )
+        except IncompleteAnswer as error:
+            raise ConnectionLost(str(error)) from None
+
     @staticmethod
     def _decode_event(message: bytes) -> bytes:
         try:
--- a/sorreldock/protocol/http/client.py
+++ b/sorreldock/protocol/http/client.py
@@ -7,6 +7,7 @@
 import h11
 import trio
 
+from ...completeness import check_event_stream, is_end_event
 from ...interface import Metric, Status
 from ...routing.types import RPC, AttemptProgress, AttemptResult
 from ...transport.budget import DescriptorBudget
@@ -105,6 +106,7 @@
     def __init__(self) -> None:
         self.cached_tokens = 0
         self.load: dict[Metric, float] = {}
+        self.has_end_event = False
         self._buffer = bytearray()
 
     def feed(self, data: bytes) -> bytes:
@@ -127,9 +129,13 @@
         return events
 
     def remainder(self) -> bytes:
-        """Return what is left at the end of the stream: an event without its blank line, or nothing."""
+        """Return what is left at the end of the stream: the last event without its blank line, or nothing.
+
+        Raises IncompleteAnswer if the stream is not complete.
+        """
         remainder = bytes(self._buffer)
         self._parse(remainder)
+        check_event_stream(self.has_end_event, remainder)
         return remainder
 
     def _parse(self, data: bytes) -> None:
@@ -140,6 +146,8 @@
                 self._parse_usage(line[6:])
             elif line not in BLANK_LINES and line.partition(b":")[0].rstrip(b"\r") not in EVENT_FIELD_NAMES:
                 raise ServerProtocolError("invalid line in the event stream")
+            elif is_end_event(line):
+                self.has_end_event = True
 
     def _parse_usage(self, text: bytes) -> None:
         try:
@@ -162,8 +170,8 @@
     async def next_events(self) -> bytes:
         """Return the next whole events; nothing at the end of the answer.
 
-        May be cancelled and called again. Raises ConnectionLost for an answer that is cut off and
-        ServerProtocolError for an invalid one.
+        May be cancelled and called again. Raises ConnectionLost for an answer that is cut off,
+        IncompleteAnswer for one that ends early and ServerProtocolError for an invalid one.
         """
         events = b""
         while not events and not self._has_ended:
--- a/sorreldock/protocol/http/connection.py
+++ b/sorreldock/protocol/http/connection.py
@@ -153,6 +153,11 @@
         will_close = self.closing.is_announced and self.front.pass_connection is None
         return [CLOSE] if will_close and not self.owes_more_answers() else []
 
+    @property
+    def is_close_delimited(self) -> bool:
+        """Whether a clean close would end the answer that has begun like a complete one (RFC 9112, 6.3)."""
+        return self.head_sent and self.parser.their_http_version == b"1.0"
+
     def release_body(self) -> None:
         """Release the memory budget of the request's body."""
         self.front.payloads.release(self.reserved_bytes)
@@ -463,7 +468,9 @@
         elif final.outcome is Outcome.FAILED:
             await self.answer(504 if final.cause.value == "deadline" else 502, "failed")
         else:  # broken or gone: the connection is closed without the last chunk
-            if final.outcome is Outcome.BROKEN:
+            if self.is_close_delimited:
+                self.connection.abort()
+            elif final.outcome is Outcome.BROKEN:
                 await self.close_gracefully()
             raise ConnectionLost("the response stream broke")
 
--- a/sorreldock/protocol/kserve/client.py
+++ b/sorreldock/protocol/kserve/client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from contextlib import contextmanager, suppress
 from functools import partial
 
@@ -13,6 +13,7 @@
 import trio
 from google.protobuf.message import DecodeError
 
+from ...completeness import check_grpc_answer
 from ...interface import Metric, Status
 from ...kserve import kserve_pb2 as pb
 from ...kserve.framing import (
@@ -54,12 +55,15 @@
 class Exchange:
     """One stream to a server, from its request to its trailers."""
 
-    def __init__(self, connection: ServerConnection, number: int) -> None:
+    def __init__(self, connection: ServerConnection, number: int, is_unary: bool) -> None:
         self.connection = connection
         self.number = number
+        self.is_unary = is_unary
         self.deframer = Deframer(MAX_ANSWER_MESSAGE_BYTES)
         self.headers: dict[str, str] = {}
         self.trailers: Headers = []
+        self.has_trailers = False
+        self.messages = 0  # whole ones so far
         self.ended = False
 
     async def step(self) -> None:
@@ -86,10 +90,10 @@
                 pass
             case h2.events.ResponseReceived():
                 self.headers = {str(k): str(v) for k, v in event.headers or []}
-                # The trailers, too, if it is a trailers-only response.
-                self.trailers = [(str(k), str(v)) for k, v in event.headers or []]
+                if event.stream_ended is not None:  # a response that consists of trailers only
+                    self.receive_trailers(event.headers or [])
             case h2.events.TrailersReceived():
-                self.trailers = [(str(k), str(v)) for k, v in event.headers or []]
+                self.receive_trailers(event.headers or [])
             case h2.events.DataReceived():
                 self.deframer.feed(event.data or b"")
                 self.connection.wire.acknowledge(self.number, event.flow_controlled_length or 0)
@@ -101,6 +105,21 @@
                 if not self.ended:
                     raise ConnectionLost(f"stream reset with error {event.error_code}")
 
+    def receive_trailers(self, fields: Iterable[tuple[object, object]]) -> None:
+        """Keep the trailers; a status in other header fields is not that of the answer."""
+        self.has_trailers = True
+        self.trailers = [(str(name), str(value)) for name, value in fields]
+
+    def check_complete(self) -> None:
+        """Raise IncompleteAnswer unless the ended answer is complete."""
+        check_grpc_answer(
+            self.headers.get(":status", ""),
+            self.has_trailers,
+            self.deframer.partial,
+            self.messages,
+            self.is_unary,
+        )
+
     async def send(self, data: bytes) -> None:
         """Send the request as flow control allows; stop if the answer ends before the request is sent."""
         wire, view = self.connection.wire, memoryview(data)
@@ -123,6 +142,7 @@
         while True:
             message = self.deframer.next()
             if message is not None:
+                self.messages += 1
                 return message
             if self.ended:
                 if self.deframer.partial:
@@ -180,7 +200,7 @@
             *metadata,
         ]
         self.wire.h2.send_headers(number, headers)
-        return Exchange(self, number)
+        return Exchange(self, number, is_unary=method != "ModelStreamInfer")
 
 
 class KserveServerClient(PooledServerClient[ServerConnection, Exchange]):
@@ -213,9 +233,14 @@
         message = await self._next_message(exchange)
         has_started = message is not None
         while message is not None:
+            if exchange.is_unary and exchange.messages > 1:
+                raise ServerProtocolError("a unary answer with two messages")
             await progress.forward_event(message)
             message = await self.read_within_event_gap(progress, partial(self._next_message, exchange))
-        return self._result_of(exchange, has_started)
+        result = self._result_of(exchange, has_started)
+        if result.status is Status.OK and exchange.status()[0] == Code.OK:
+            exchange.check_complete()
+        return result
 
     @staticmethod
     async def _next_message(exchange: Exchange) -> bytes | None:
@@ -249,5 +274,7 @@
             message = await exchange.next_message()
             while await exchange.next_message() is not None:
                 pass
+            if exchange.status()[0] == Code.OK:
+                exchange.check_complete()
             ready = pb.ServerReadyResponse.FromString(message or b"").ready
         return AttemptResult(Status.OK if ready else Status.FULL, exchange.load())
--- a/sorreldock/protocol/server_client.py
+++ b/sorreldock/protocol/server_client.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from ..completeness import IncompleteAnswer
 from ..interface import Status
 from ..routing.types import RPC, AttemptProgress, AttemptResult
 from ..transport.connection import ConnectionLost, DialFailed, LocalShortage, NoListener
@@ -66,7 +67,10 @@
 
     @abstractmethod
     async def answer(self, exchange: ExchangeT, progress: AttemptProgress) -> AttemptResult:
-        """Forward the events of the answer until its end, and return the result."""
+        """Forward the events of the answer until its end, and return the result.
+
+        Raises ConnectionLost, ServerProtocolError or IncompleteAnswer for an answer that is not complete.
+        """
 
     @abstractmethod
     async def send_probe(self, connection: ConnectionT) -> AttemptResult:
@@ -117,7 +121,7 @@
                 result = await self.answer(exchange, progress)
             except RequestNotProcessed as error:
                 return AttemptResult(Status.FULL, note=str(error))
-            except (ConnectionLost, ServerProtocolError) as error:
+            except (ConnectionLost, ServerProtocolError, IncompleteAnswer) as error:
                 return AttemptResult(Status.RESET, note=str(error))
             completed = True
             return result
@@ -135,7 +139,7 @@
                 result = await self.send_probe(connection)
                 completed = True
                 return result
-            except (ConnectionLost, ServerProtocolError) as error:
+            except (ConnectionLost, ServerProtocolError, IncompleteAnswer) as error:
                 return AttemptResult(Status.RESET, note=str(error))
             finally:
                 self._pool.release(connection, completed)
--- a/sorreldock/transport/connection.py
+++ b/sorreldock/transport/connection.py
@@ -23,6 +23,7 @@
 CLOSED_BY_PEER_STATES = frozenset({TCP_CLOSE, TCP_CLOSE_WAIT, TCP_LAST_ACK, TCP_CLOSING})
 # The part of tcp_info (include/uapi/linux/tcp.h) up to tcpi_last_data_recv, in ms.
 TCP_INFO_TO_LAST_DATA = struct.Struct("=52xI")
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # struct linger: on, for 0 s
 DISCARD_BUFFER = bytearray(65536)  # shared by all connections, for received data that is discarded
 
 
@@ -228,6 +229,13 @@
             self._sock.close()
             self._on_close()
 
+    def abort(self) -> None:
+        """Close the connection with a reset; bytes that the peer's machine has not received are discarded."""
+        if not self._closed:
+            with suppress(OSError):
+                self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            self.close()
+
 
 def closed_by_peer(sock: Any) -> bool:
     """Return whether the kernel has received the peer's FIN or RST; False if that can't be queried."""
--- a/tests/client_peers.py
+++ b/tests/client_peers.py
@@ -33,9 +33,9 @@
 )
 OK = (
     b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
-    b"9\r\ndata: 1\n\n\r\n9\r\ndata: 2\n\n\r\n0\r\n\r\n"
+    b"9\r\ndata: 1\n\n\r\ne\r\ndata: [DONE]\n\n\r\n0\r\n\r\n"
 )
-EVENTS = [b"data: 1\n\n", b"data: 2\n\n"]
+EVENTS = [b"data: 1\n\n", b"data: [DONE]\n\n"]
 
 
 def refusal(advice: str = "", status: int = 503) -> bytes:
--- a/tests/grpc_peers.py
+++ b/tests/grpc_peers.py
@@ -179,8 +179,9 @@
 
 
 async def answer_in_full(stream: Stream) -> None:
+    is_unary = stream.headers[":path"].endswith("/ModelInfer")
     await stream.start()
-    await stream.send(stream_response(1), stream_response(2))
+    await stream.send(*[stream_response(number) for number in (1, 2)][: 1 if is_unary else 2])
     await stream.finish(0)
 
 
--- a/tests/test_bad_days.py
+++ b/tests/test_bad_days.py
@@ -290,7 +290,7 @@
 
 
 def test_events_are_split_at_their_ends_and_never_changed() -> None:
-    whole = b": hello\n\nevent: x\ndata: 1\n\ndata: 2\r\n\r\ndata: 3"
+    whole = b": hello\n\nevent: x\ndata: 1\n\ndata: 2\r\n\r\ndata: 3\n\ndata: [DONE]"
     for step in (1, 3, 7, 100):
         events, got = EventSplitter(), b""
         for at in range(0, len(whole), step):
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -466,7 +466,7 @@
     code = (
         "import sys, sorreldock.client\n"
         "own = [m for m in sys.modules if m.startswith('sorreldock.')]\n"
-        "assert all(m.split('.')[1] in ('client', 'kserve') for m in own), own\n"
+        "assert all(m.split('.')[1] in ('client', 'completeness', 'kserve') for m in own), own\n"
         "assert not {'trio', 'matplotlib', 'msgspec', 'typer'} & set(sys.modules)"
     )
     assert subprocess.run([sys.executable, "-c", code], cwd=ROOT, timeout=60).returncode == 0
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -630,6 +630,7 @@
         for _ in range(400):
             await request.send_events(chunk)
             sent += 1
+        await request.send_events(EVENTS[-1])
         await request.end()
 
     async with running_router(ScriptedServer(flood)) as router:
@@ -640,7 +641,7 @@
         body = bytearray()
         while hasattr(event := await connection.next(), "data"):
             body += event.data
-        assert body == chunk * 400
+        assert body == chunk * 400 + EVENTS[-1]
 
 
 @trio_test
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -212,9 +212,10 @@
         return result.returncode, [json.loads(line) for line in result.stdout.splitlines()]
 
     event = b'data: {"choices":[{"delta":{"content":"a street"}}]}\n\n'
+    events = event + b"data: [DONE]\n\n"
     answer = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n" % (
-        len(event),
-        event,
+        len(events),
+        events,
     )
     cut_answer = answer[: answer.index(b"0\r\n\r\n")].replace(
         b"transfer-encoding: chunked", b"content-length: 999"
@@ -222,7 +223,7 @@
     with hosted(Stub(answers(answer)).running()) as stub:
         status, records = ask("--router", stub.address)
         assert status == 0 and records[0]["text"] == "a street"
-        assert (records[1]["outcome"], records[1]["attempts"]) == ("answered", 1)
+        assert (records[-1]["outcome"], records[-1]["attempts"]) == ("answered", 1)
     with hosted(Stub(answers(refusal("9"))).running()) as stub:
         status, records = ask("--router", stub.address)
         assert status == 3 and records[0]["retry_after_s"] == 9.0
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -9,6 +9,7 @@
 import trio.testing
 from grpc_peers import BOTH_PROTOCOLS, DualProtocolServer, frame_message, grpc_client
 from grpc_peers import Stream as GrpcStream
+from grpc_peers import answer_in_full as answer_grpc_in_full
 from grpc_peers import request as grpc_request
 from peers import HttpConnection, Router, ScriptedServer, read_answer, running_router, stream_until, trio_test
 from test_bad_days import raw
@@ -79,7 +80,7 @@
 
     async def answer_late(stream: GrpcStream) -> None:
         await finish.wait()
-        await stream.finish(0)
+        await answer_grpc_in_full(stream)
 
     async with running_router(
         DualProtocolServer(answer_late), operator=BOTH_PROTOCOLS, sockets=SOCKETS
--- a/tests/test_shutdown_and_cancellation.py
+++ b/tests/test_shutdown_and_cancellation.py
@@ -11,7 +11,7 @@
 import trio.testing
 from grpc_peers import BOTH_PROTOCOLS, Client, DualProtocolServer, H2Endpoint, Stream, grpc_client
 from grpc_peers import request as grpc_request
-from peers import Discovery, ReceivedRequest, ScriptedServer, running_router, stream_until, trio_test
+from peers import EVENTS, Discovery, ReceivedRequest, ScriptedServer, running_router, stream_until, trio_test
 from test_bad_days import all_of, raw
 
 from sorreldock.kserve.framing import Code
@@ -509,7 +509,7 @@
 @trio_test
 async def test_a_slow_reader_gets_the_end_of_its_answer_though_it_sends_a_request_after_sigterm() -> None:
     async def answer_long(received: ReceivedRequest) -> None:
-        await received.start(LONG_EVENT)
+        await received.start(LONG_EVENT, EVENTS[-1])
         await received.end()
 
     async with running_router(ScriptedServer(answer_long)) as router:
