Do not cut off an event that its server is still writing

Cause: the times for the first event (1 s) and between events (4.85 s) ran from whole event to whole event, whatever arrived of the next one. Class of bug: a limit on time that ignores progress. Change: while each second brings a part of an event, these times are extended, up to 30 s for one event; a server that stops within an event is given up after a second, as before at the earliest.

--- a/sorreldock/protocol/http/client.py
+++ b/sorreldock/protocol/http/client.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import json
+import math
 
 import h11
-import trio
 
 from ...completeness import check_event_stream, is_end_event
 from ...interface import Metric, Status
@@ -15,7 +15,7 @@
 from ...transport.pool import ConnectionPool
 from .. import server_client
 from ..loads import LOAD_REPORT_HEADER, parse_load
-from ..server_client import PooledServerClient, ServerProtocolError
+from ..server_client import PooledServerClient, ServerProtocolError, read_while_received
 from .fields import HttpPayload
 
 MAX_SHORT_BODY_BYTES = 16 * 1024
@@ -42,6 +42,10 @@
     async def is_usable(self) -> bool:
         return not self.connection.is_stale
 
+    def received_at(self) -> float:
+        """Return when the last bytes were received."""
+        return self.connection.received_at
+
     async def next_event(self) -> h11.Event:
         """Return the next event of the answer; raise ServerProtocolError for invalid HTTP."""
         while True:
@@ -61,10 +65,9 @@
         while True:
             if not self.parser.trailing_data[0] and not self.connection.unread:
                 await self.connection.fill()  # bounded by the caller's deadline alone
-            with trio.move_on_after(server_client.FIRST_EVENT_TIMEOUT_S) as timeout:
-                event = await self.next_event()
-            if timeout.cancelled_caught:
-                raise ConnectionLost("incomplete head of the answer")
+            event = await read_while_received(
+                self.next_event, server_client.FIRST_EVENT_TIMEOUT_S, self.received_at
+            )
             if isinstance(event, h11.Response):
                 coding = dict(event.headers).get(b"transfer-encoding")
                 self.chunked = coding == b"chunked"
@@ -128,6 +131,11 @@
         self._parse(events)
         return events
 
+    @property
+    def has_part(self) -> bool:
+        """Whether a part of an event has been fed."""
+        return bool(self._buffer)
+
     def remainder(self) -> bytes:
         """Return what is left at the end of the stream: the last event without its blank line, or nothing.
 
@@ -167,6 +175,11 @@
         self._chunk = bytearray()
         self._has_ended = False
 
+    def partial_received_at(self) -> float:
+        """Return when the last bytes of an incomplete event were received; -inf if there is none."""
+        has_part = self._chunk or self.splitter.has_part or self._connection.parser.trailing_data[0]
+        return self._connection.received_at() if has_part else -math.inf
+
     async def next_events(self) -> bytes:
         """Return the next whole events; nothing at the end of the answer.
 
@@ -245,13 +258,14 @@
                 return AttemptResult(Status.OK, load, note=note, server_status=head.status_code)
             return AttemptResult(Status.FULL if never_ran else Status.ERROR, load, note=note)
         answer = AnswerReader(exchange, load)
-        with trio.move_on_after(server_client.FIRST_EVENT_TIMEOUT_S) as timeout:
-            events = await answer.next_events()
-        if timeout.cancelled_caught:
-            raise ConnectionLost("no event in time within the stream")
+        events = await read_while_received(
+            answer.next_events, server_client.FIRST_EVENT_TIMEOUT_S, answer.partial_received_at
+        )
         while events:
             await progress.forward_event(events)
-            events = await self.read_within_event_gap(progress, answer.next_events)
+            events = await self.read_within_event_gap(
+                progress, answer.next_events, answer.partial_received_at
+            )
         return AttemptResult(Status.OK, answer.splitter.load, answer.splitter.cached_tokens)
 
     async def send_probe(self, connection: ServerConnection) -> AttemptResult:
--- a/sorreldock/protocol/kserve/client.py
+++ b/sorreldock/protocol/kserve/client.py
@@ -64,6 +64,7 @@
         self.trailers: Headers = []
         self.has_trailers = False
         self.messages = 0  # whole ones so far
+        self._received_at = -math.inf  # when the last bytes of messages were received
         self.ended = False
 
     async def step(self) -> None:
@@ -96,6 +97,7 @@
                 self.receive_trailers(event.headers or [])
             case h2.events.DataReceived():
                 self.deframer.feed(event.data or b"")
+                self._received_at = trio.current_time()
                 self.connection.wire.acknowledge(self.number, event.flow_controlled_length or 0)
             case h2.events.StreamEnded():
                 self.ended = True
@@ -105,6 +107,10 @@
                 if not self.ended:
                     raise ConnectionLost(f"stream reset with error {event.error_code}")
 
+    def partial_received_at(self) -> float:
+        """Return when the last bytes of an incomplete message were received; -inf if there is none."""
+        return self._received_at if self.deframer.partial else -math.inf
+
     def receive_trailers(self, fields: Iterable[tuple[object, object]]) -> None:
         """Keep the trailers; a status in other header fields is not that of the answer."""
         self.has_trailers = True
@@ -236,7 +242,9 @@
             if exchange.is_unary and exchange.messages > 1:
                 raise ServerProtocolError("a unary answer with two messages")
             await progress.forward_event(message)
-            message = await self.read_within_event_gap(progress, partial(self._next_message, exchange))
+            message = await self.read_within_event_gap(
+                progress, partial(self._next_message, exchange), exchange.partial_received_at
+            )
         result = self._result_of(exchange, has_started)
         if result.status is Status.OK and exchange.status()[0] == Code.OK:
             exchange.check_complete()
--- a/sorreldock/protocol/server_client.py
+++ b/sorreldock/protocol/server_client.py
@@ -22,9 +22,12 @@
 GONE_EVENT_GAP_TIMEOUT_S = 3.5
 PROBE_TIMEOUT_S = 0.25
 # The time from the first byte of an answer to its first whole event, which servers send together with the
-# head. Without this limit an incomplete head or garbage on a connection that stays open would use up the
-# request's whole time, with none left for another attempt.
+# head. Without this limit an incomplete head or part of an event on a connection that stays open would use up
+# the request's whole time, with none left for another attempt.
 FIRST_EVENT_TIMEOUT_S = 1.0
+# An event that is being received extends these times for as long as each span of FIRST_EVENT_TIMEOUT_S brings
+# a part of it, up to this time for the whole event.
+EVENT_TIMEOUT_S = 30.0
 MAX_EVENT_BYTES = 128 * 1024
 
 
@@ -48,6 +51,25 @@
 ExchangeT = TypeVar("ExchangeT")
 
 
+async def read_while_received(
+    read: Callable[[], Awaitable[T]], timeout_s: float, received_at: Callable[[], float]
+) -> T:
+    """Return what `read` returns; raise ConnectionLost when it takes too long.
+
+    `read` has `timeout_s`, which is extended while parts of what it reads arrive;
+    `received_at` returns when the last part came. `read` is started anew each time.
+    """
+    began_at = trio.current_time()
+    deadline = began_at + timeout_s
+    while True:
+        with trio.move_on_at(deadline):
+            return await read()
+        extended = min(received_at() + FIRST_EVENT_TIMEOUT_S, began_at + EVENT_TIMEOUT_S)
+        if extended <= trio.current_time():
+            raise ConnectionLost("no event in time within the stream")
+        deadline = extended
+
+
 class PooledServerClient(ABC, Generic[ConnectionT, ExchangeT]):
     """A server client that runs each attempt and probe on a connection of its pool.
 
@@ -76,17 +98,20 @@
     async def send_probe(self, connection: ConnectionT) -> AttemptResult:
         """Send a probe and return its result, with the load report of the server."""
 
-    async def read_within_event_gap(self, progress: AttemptProgress, read: Callable[[], Awaitable[T]]) -> T:
+    async def read_within_event_gap(
+        self, progress: AttemptProgress, read: Callable[[], Awaitable[T]], received_at: Callable[[], float]
+    ) -> T:
         """Return what `read` returns, the next part of a stream; raise ConnectionLost when it takes too long.
 
-        `read` is started anew once if it is cancelled, so it must keep what it has read.
+        `read` is started anew if it is cancelled, so it must keep what it has read. `received_at` returns
+        when the last bytes of an incomplete part were received, -inf without one.
         """
         with trio.move_on_after(min(GONE_EVENT_GAP_TIMEOUT_S, EVENT_GAP_TIMEOUT_S)):
             return await read()
-        if not (self._refuses_connections or progress.is_server_removed()):
-            with trio.move_on_after(max(EVENT_GAP_TIMEOUT_S - GONE_EVENT_GAP_TIMEOUT_S, 0.0)):
-                return await read()
-        raise ConnectionLost("no event in time within the stream")
+        timeout_s = max(EVENT_GAP_TIMEOUT_S - GONE_EVENT_GAP_TIMEOUT_S, 0.0)
+        if self._refuses_connections or progress.is_server_removed():
+            timeout_s = 0.0
+        return await read_while_received(read, timeout_s, received_at)
 
     async def _connect(self) -> ConnectionT:
         """Return a connection of the pool; raise DialFailed."""
--- a/sorreldock/transport/connection.py
+++ b/sorreldock/transport/connection.py
@@ -58,6 +58,7 @@
         "_reading",
         "_sock",
         "_wait_readable",
+        "received_at",
     )
 
     def __init__(
@@ -70,6 +71,7 @@
         self._wait_readable = wait_readable
         self._on_close = on_close
         self._closed = self._reading = False
+        self.received_at = trio.current_time()  # when bytes were last read, at first of its opening
         self._incoming = RingBuffer(RING_BYTES)
         self._outgoing = RingBuffer(RING_BYTES)
         self._no_delay = sock.family == socket.AF_UNIX or set_no_delay(sock)
@@ -92,6 +94,8 @@
         finally:
             self._reading = False
         self._incoming.commit_written(count)
+        if count:
+            self.received_at = trio.current_time()
         return count
 
     def fileno(self) -> int:
--- /dev/null
+++ b/tests/test_slow_servers.py
@@ -0,0 +1,91 @@
+"""Servers that read or write slowly: what still arrives is not cut off, and answers stay in time."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+from grpc_peers import BOTH_PROTOCOLS, DualProtocolServer, Stream, frame_message, grpc_client, stream_response
+from grpc_peers import request as grpc_request
+from peers import EVENTS, ReceivedRequest, ScriptedServer, running_router, trio_test
+
+from sorreldock.protocol import server_client
+
+PIECES, INTERVAL_S = 8, 0.1
+SLOW_EVENT = b'data: {"text":"' + b"x" * 400 + b'"}\n\n'
+
+
+@pytest.fixture(autouse=True)
+def short_timeouts(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Shorten all time limits, so that a slow event takes several times as long as each."""
+    monkeypatch.setattr(server_client, "FIRST_EVENT_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(server_client, "GONE_EVENT_GAP_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(server_client, "EVENT_GAP_TIMEOUT_S", 0.3)
+
+
+async def send_in_pieces(received: ReceivedRequest, event: bytes, pieces: int = PIECES) -> None:
+    size = -(-len(event) // PIECES)
+    for start in range(0, pieces * size, size):
+        await received.send_events(event[start : start + size])
+        await trio.sleep(INTERVAL_S)
+
+
+@pytest.mark.parametrize("begun", [False, True])
+@trio_test
+async def test_an_event_that_its_server_still_writes_is_not_cut_off(begun: bool) -> None:
+    async def write_slowly(received: ReceivedRequest) -> None:
+        await received.start(*EVENTS[: int(begun)])
+        await send_in_pieces(received, SLOW_EVENT)
+        await received.send_events(EVENTS[-1])
+        await received.end()
+
+    async with running_router(ScriptedServer(write_slowly)) as router:
+        answer = await router.post()
+    assert answer.whole and answer.body == b"".join(EVENTS[: int(begun)]) + SLOW_EVENT + EVENTS[-1]
+
+
+@trio_test
+async def test_a_server_that_stops_within_an_event_is_given_up_after_one_window() -> None:
+    async def stop_within_event(received: ReceivedRequest) -> None:
+        await received.start(EVENTS[0])
+        await send_in_pieces(received, SLOW_EVENT, pieces=PIECES // 2)
+        await received.wait_closed()
+
+    async with running_router(ScriptedServer(stop_within_event)) as router:
+        began_at = trio.current_time()
+        answer = await router.post()
+        took_s = trio.current_time() - began_at
+    assert (answer.body, answer.whole) == (EVENTS[0], False) and 0.6 < took_s < 2.0
+
+
+@trio_test
+async def test_an_event_that_never_ends_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server_client, "EVENT_TIMEOUT_S", 0.8)
+
+    async def trickle(received: ReceivedRequest) -> None:
+        await received.start(EVENTS[0])
+        for _ in range(100):
+            await received.send_events(b"data: x")
+            await trio.sleep(INTERVAL_S)
+
+    async with running_router(ScriptedServer(trickle)) as router:
+        answer = await router.post()
+    assert (answer.body, answer.whole) == (EVENTS[0], False)
+
+
+@trio_test
+async def test_a_grpc_message_that_its_server_still_writes_is_not_cut_off() -> None:
+    message = stream_response(1)
+    data = frame_message(message + b"")
+
+    async def write_slowly(stream: Stream) -> None:
+        await stream.start()
+        await stream.send(message)
+        for byte in data:
+            stream.endpoint.h2.send_data(stream.number, bytes([byte]))
+            await stream.endpoint.flush()
+            await trio.sleep(INTERVAL_S / 2)
+        await stream.finish(0)
+
+    server = DualProtocolServer(write_slowly)
+    async with running_router(server, operator=BOTH_PROTOCOLS) as router, grpc_client(router) as client:
+        assert await client.call("ModelStreamInfer", grpc_request()) == (0, [message, message])
