Refuse heads of more than 100 fields before they are parsed, and keep no server's head

Cause: a head was limited in bytes alone. As objects, 16 KiB of such fields are about 1 MB and some 10 ms of parsing, counted nowhere and held while the body is read; a server's head was held while its answer streamed. Class of bug: a limit for each item (bytes) bounds no sum (objects). Change: at most 100 fields (Envoy's and HAProxy's figure), counted in the bytes before h11 sees them: 431, over gRPC RESOURCE_EXHAUSTED for that stream alone. Of a server's head only what is used is kept. h2 remembers 1,024 closed streams of a connection instead of 65,536.

--- a/sorreldock/protocol/front.py
+++ b/sorreldock/protocol/front.py
@@ -16,6 +16,8 @@
 from ..transport.connection import Connection
 
 MAX_BODY_BYTES = 256 * 1024  # of a request body or a message
+# Of one request. As an object, a field of some bytes takes some hundred; well-known proxies have this limit.
+MAX_HEADER_FIELDS = 100
 # Time limits for clients. A truncated request is recognized by the pause after it: a slow link delivers late
 # but continuously, so a body that still arrives gets a long time.
 # From accepting the connection, or the first byte of a later request, to the end of the request's head.
--- a/sorreldock/protocol/http/client.py
+++ b/sorreldock/protocol/http/client.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+from dataclasses import dataclass
 
 import h11
 
@@ -31,6 +32,15 @@
 LOAD_REPORT_PREFIX = b": " + LOAD_REPORT_HEADER.encode() + b":"
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """The used part of an answer's head; the other fields are not kept while the answer streams."""
+
+    status: int
+    says_never_ran: bool
+    load_report: str
+
+
 class ServerConnection:
     """A connection to a server, with its HTTP parser."""
 
@@ -60,8 +70,8 @@
             else:
                 return event  # type: ignore[return-value]
 
-    async def read_head(self) -> h11.Response:
-        """Return the head of the answer, skipping informational responses."""
+    async def read_head(self) -> AnswerHead:
+        """Return what is used of the answer's head, skipping informational responses."""
         while True:
             if not self.parser.trailing_data[0] and not self.connection.unread:
                 await self.connection.fill()  # bounded by the caller's deadline alone
@@ -69,9 +79,13 @@
                 self.next_event, server_client.FIRST_EVENT_TIMEOUT_S, self.received_at
             )
             if isinstance(event, h11.Response):
-                coding = dict(event.headers).get(b"transfer-encoding")
-                self.chunked = coding == b"chunked"
-                return event
+                fields = dict(event.headers)
+                self.chunked = fields.get(b"transfer-encoding") == b"chunked"
+                return AnswerHead(
+                    event.status_code,
+                    fields.get(b"x-never-ran") == b"1",
+                    fields.get(LOAD_REPORT_HEADER.lower().encode(), b"").decode("latin-1"),
+                )
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionLost("connection closed without an answer")
 
@@ -248,14 +262,13 @@
 
     async def answer(self, exchange: ServerConnection, progress: AttemptProgress) -> AttemptResult:
         head = await exchange.read_head()
-        headers = dict(head.headers)
-        load = parse_load(headers.get(LOAD_REPORT_HEADER.lower().encode(), b"").decode("latin-1"))
-        if head.status_code != 200:
-            never_ran = head.status_code in (503, 504) and headers.get(b"x-never-ran") == b"1"
-            note = f"HTTP {head.status_code}"
+        load = parse_load(head.load_report)
+        if head.status != 200:
+            never_ran = head.status in (503, 504) and head.says_never_ran
+            note = f"HTTP {head.status}"
             await exchange.read_short_body()
-            if head.status_code in REQUEST_ERROR_STATUSES:
-                return AttemptResult(Status.OK, load, note=note, server_status=head.status_code)
+            if head.status in REQUEST_ERROR_STATUSES:
+                return AttemptResult(Status.OK, load, note=note, server_status=head.status)
             return AttemptResult(Status.FULL if never_ran else Status.ERROR, load, note=note)
         answer = AnswerReader(exchange, load)
         events = await read_while_received(
@@ -274,9 +287,6 @@
         )
         head = await connection.read_head()
         body = (await connection.read_short_body()).decode("latin-1")
-        text = body.strip() or dict(head.headers).get(LOAD_REPORT_HEADER.lower().encode(), b"").decode(
-            "latin-1"
-        )
-        text = text.removeprefix(LOAD_REPORT_HEADER + ":").strip()
-        status = Status.OK if head.status_code == 200 else Status.FULL
-        return AttemptResult(status, parse_load(text), note=f"HTTP {head.status_code}")
+        text = (body.strip() or head.load_report).removeprefix(LOAD_REPORT_HEADER + ":").strip()
+        status = Status.OK if head.status == 200 else Status.FULL
+        return AttemptResult(status, parse_load(text), note=f"HTTP {head.status}")
--- a/sorreldock/protocol/http/connection.py
+++ b/sorreldock/protocol/http/connection.py
@@ -23,7 +23,15 @@
 from ..front import Front
 from .arrivals import Arrivals
 from .closing import Closing
-from .fields import SERVED_PATH, BadRequest, HttpPayload, end_to_end, rpc_from, unique_fields
+from .fields import (
+    SERVED_PATH,
+    BadRequest,
+    HttpPayload,
+    end_to_end,
+    has_too_many_lines,
+    rpc_from,
+    unique_fields,
+)
 
 MAX_HEAD_BYTES = 16 * 1024
 # The limit on buffered bytes of pipelined requests: one of the largest. Further ones stay in the kernel.
@@ -304,6 +312,8 @@
     async def next_event(self) -> h11.Event | None:
         """Return the next event of a request; None when the client has closed its sending side."""
         while True:
+            if self.parser.their_state is h11.IDLE:
+                self.check_field_count()
             try:
                 event = self.parser.next_event()
             except h11.RemoteProtocolError as error:
@@ -326,6 +336,12 @@
             else:
                 return event  # type: ignore[return-value]
 
+    def check_field_count(self) -> None:
+        """Raise the answer 431 for a head with too many fields, before they are parsed to objects."""
+        data = self.parser.trailing_data[0]
+        if has_too_many_lines(data, limits.MAX_HEADER_FIELDS + 1):
+            raise ImmediateAnswer(431, "too many header fields", (CLOSE,))
+
     async def handle_request(self, request: h11.Request) -> None:
         """Answer a request, by its path."""
         path = request.target.partition(b"?")[0].decode("latin-1")
--- a/sorreldock/protocol/http/fields.py
+++ b/sorreldock/protocol/http/fields.py
@@ -10,6 +10,7 @@
 
 SERVED_PATH = "/v1/chat/completions"
 EXPIRES_IN_PATTERN = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)([mu])")
+END_OF_HEAD = re.compile(rb"\n\r?\n")  # as h11 has it
 UNITS_S = {"m": 1e-3, "u": 1e-6}
 MAX_FIELD_LENGTH = 200  # in characters
 MAX_EXPIRES_IN_S = 3600.0
@@ -57,6 +58,14 @@
     other_fields: tuple[tuple[bytes, bytes], ...] = ()  # unknown to the router, in their order
 
 
+def has_too_many_lines(data: bytes, max_lines: int) -> bool:
+    """Return whether the message head at the start of the data has more lines than this, if only so far."""
+    if data.count(b"\n") <= max_lines:
+        return False
+    end = END_OF_HEAD.search(data)
+    return data.count(b"\n", 0, len(data) if end is None else end.start() + 1) > max_lines
+
+
 def unique_fields(fields: Iterable[tuple[bytes, bytes]]) -> dict[bytes, bytes]:
     """Return the fields by name, and reject ambiguous ones with BadRequest.
 
--- a/sorreldock/protocol/kserve/connection.py
+++ b/sorreldock/protocol/kserve/connection.py
@@ -11,11 +11,11 @@
 import trio
 from hyperframe.frame import GoAwayFrame
 
-from ...kserve.framing import GoAway
+from ...kserve.framing import Code, GoAway, trailers
 from ...transport.admission import Stage
 from ...transport.connection import Connection, ConnectionLost
 from .. import front as limits
-from .call import ClientStream
+from .call import RESPONSE_HEADERS, ClientStream
 from .grpc import FrontWire
 
 if TYPE_CHECKING:
@@ -148,6 +148,9 @@
                 if self.excludes_new_streams:
                     self.refuse_stream(event.stream_id)
                     return
+                if len(event.headers) > limits.MAX_HEADER_FIELDS:
+                    self.answer_too_many_fields(event.stream_id)
+                    return
                 headers = [(str(k), str(v)) for k, v in event.headers]
                 stream = self.streams[event.stream_id] = ClientStream(self, event.stream_id, headers)
                 self.front.queue.remove(self)
@@ -190,6 +193,13 @@
         with suppress(h2.exceptions.StreamClosedError):
             self.wire.h2.reset_stream(stream_id, h2.errors.ErrorCodes.REFUSED_STREAM)
 
+    def answer_too_many_fields(self, stream_id: int) -> None:
+        """Answer a stream whose head has too many fields, without keeping them."""
+        status = trailers(Code.RESOURCE_EXHAUSTED, "too many header fields")
+        with suppress(h2.exceptions.ProtocolError):
+            self.wire.h2.send_headers(stream_id, [*RESPONSE_HEADERS, *status], end_stream=True)
+            self.wire.h2.reset_stream(stream_id, h2.errors.ErrorCodes.NO_ERROR)
+
     async def close_if_silent(self) -> None:
         """Close a connection that sends no HTTP/2 preface within the time limit for a head.
 
--- a/sorreldock/protocol/kserve/grpc.py
+++ b/sorreldock/protocol/kserve/grpc.py
@@ -32,12 +32,18 @@
         self[h2.settings.SettingCodes.MAX_CONCURRENT_STREAMS] = value
 
 
+class BoundedH2Connection(h2.connection.H2Connection):
+    """An HTTP/2 connection that remembers fewer closed streams than h2 does, which are some MB."""
+
+    MAX_CLOSED_STREAMS = 1024
+
+
 class H2Wire:
     """A connection with its HTTP/2 state; change the state, then call `flush`."""
 
     def __init__(self, connection: Connection, client_side: bool, max_streams: int) -> None:
         self.connection = connection
-        self.h2 = h2.connection.H2Connection(
+        self.h2 = BoundedH2Connection(
             h2.config.H2Configuration(client_side=client_side, header_encoding="utf-8")
         )
         values = {
