Count what is held for clients in one ledger, and refuse slow requests when memory is short

Cause: bodies were kept as pieces of every length and joined at the end, beside the counted bytes; over gRPC the message was held twice more while its answer streamed. The payload budget made room by closing whichever request had been silent for 20 ms, and ranked all connections for it at each piece. Class of bug: a limit for each item bounds no sum; a limit on silence that a trickle defeats. Change: transport/ledger.py counts accounts against one limit from memory_mb; bodies are kept in blocks and never joined; a request that was given 2.2 s and is the slowest of the oldest is refused with 503 when memory is short, and an eighth is kept for the first 16 KiB of each request. The simulation checks that the ledger is balanced.

--- a/sorreldock/kserve/framing.py
+++ b/sorreldock/kserve/framing.py
@@ -92,6 +92,10 @@
         """Append data of the stream."""
         self._data += data
 
+    def clear(self) -> None:
+        """Drop what has not been returned."""
+        self._data = bytearray()
+
     def next(self) -> bytes | None:
         """Return the next whole message, or None if more data is needed.
 
--- a/sorreldock/lab/simulation/mutants.py
+++ b/sorreldock/lab/simulation/mutants.py
@@ -20,7 +20,7 @@
 from ...routing.subchannel import Subchannel
 from ...routing.types import Outcome
 from ...rules import Gateway
-from ...transport.budget import PayloadBudget
+from ...transport.ledger import AccountBudget
 from ...transport.pool import ConnectionPool
 
 Patch = tuple[Any, str, Any]
@@ -202,7 +202,7 @@
     "payload-leak": Mutant(
         "memory of payloads is not released",
         "leak",
-        lambda: [(PayloadBudget, "release", lambda self, count: None)],
+        lambda: [(AccountBudget, "release", lambda self, count: None)],
     ),
     "names-leak": Mutant("names of completed RPCs are kept", "leak", _names_leak),
     "forgotten-end": Mutant(
--- a/sorreldock/lab/simulation/runner.py
+++ b/sorreldock/lab/simulation/runner.py
@@ -341,9 +341,9 @@
                     self.checker.report_violation(
                         "leak", f"{router.name} holds {len(items)} {description}", router.name
                     )
-            if program.payloads.used:
+            if program.ledger.used or any(program.ledger.figures().values()):
                 self.checker.report_violation(
-                    "leak", f"{router.name} counts {program.payloads.used} bytes of payloads"
+                    "leak", f"{router.name} counts bytes that nothing holds: {program.ledger.figures()}"
                 )
             clients = sum(len(front.clients) for front in program.fronts.values())
             if clients:
--- a/sorreldock/program/serve.py
+++ b/sorreldock/program/serve.py
@@ -16,8 +16,9 @@
 from ..protocol.http.front import HttpFront
 from ..routing.core import Core
 from ..routing.types import ResolverResult, ServerClient
-from ..transport.budget import DescriptorBudget, PayloadBudget, Use
+from ..transport.budget import DescriptorBudget, Use
 from ..transport.connection import dialler
+from ..transport.ledger import Account, AccountBudget, MemoryLedger
 from ..transport.listener import Listener
 from ..transport.system import REAL_SYSTEM, System
 from . import early_reload
@@ -37,11 +38,11 @@
 LINGER_S = 0.5  # clients still connect for this long after SIGTERM, and are accepted
 TRIM_INTERVAL_S = 5.0
 # Bounds that keep the process below its memory limit. The program itself takes about PROGRAM_MB; of the rest,
-# two fifths may be payloads, on both fronts together. The remainder is for connections and for what open RPCs
-# need besides their payloads.
+# three fifths may be held for peers by the ledger's count. The remainder is for what it does not count: the
+# allocator's unused memory, servers' connections and short-lived copies.
 PROGRAM_MB = 36
-PAYLOAD_SHARE = 0.4
-MIN_PAYLOAD_MB, MAX_PAYLOAD_MB = 2, 40
+LEDGER_SHARE = 0.6
+MIN_LEDGER_MB, MAX_LEDGER_MB = 3, 60
 OPEN_RPCS_PER_MB, MIN_OPEN_RPCS = 4, 64
 # A server accepts a few hundred connections from all routers together; at most this many may be idle.
 IDLE_CONNECTIONS_PER_SERVER, MIN_IDLE_CONNECTIONS = 240, 4
@@ -50,10 +51,10 @@
 CONNECTIONS_CLOSE_TIMEOUT_S = 2.0  # for connections to end once all answers are written
 
 
-def payload_bytes(memory_mb: int) -> int:
-    """Return the maximum size of all payloads together."""
-    payload_mb = (memory_mb - PROGRAM_MB) * PAYLOAD_SHARE
-    return int(min(max(payload_mb, MIN_PAYLOAD_MB), MAX_PAYLOAD_MB) * 1024 * 1024)
+def ledger_bytes(memory_mb: int) -> int:
+    """Return the maximum of all that is held for peers."""
+    ledger_mb = (memory_mb - PROGRAM_MB) * LEDGER_SHARE
+    return int(min(max(ledger_mb, MIN_LEDGER_MB), MAX_LEDGER_MB) * 1024 * 1024)
 
 
 def max_list_bytes(memory_mb: int) -> int:
@@ -89,13 +90,18 @@
         self.console: Console | None = None
         self.takeover: Takeover | None = None
         self.budget = DescriptorBudget(config.sockets)
-        self.payloads = PayloadBudget(payload_bytes(config.memory_mb))
+        self.ledger = MemoryLedger(ledger_bytes(config.memory_mb))
         self.fronts: dict[str, Front[Any]] = {}
         self.listeners: dict[str, Listener] = {}
         self.addresses: dict[str, str] = {}  # where each front listens, by protocol
         self.serving = trio.Event()
         self.linger_s = LINGER_S
 
+    @property
+    def payloads(self) -> AccountBudget:
+        """The ledger's account of requests."""
+        return self.ledger[Account.PAYLOADS]
+
     def is_ready(self) -> bool:
         """Return whether the router serves and has a server that accepts requests."""
         return self.lifecycle.is_serving and self.core.can_serve()
@@ -215,7 +221,7 @@
     def _open_fronts(self) -> None:
         operator = self.config.operator
         if operator.http:
-            self.fronts["http"] = HttpFront(self.core, self.is_ready, self.budget, self.payloads, self.log)
+            self.fronts["http"] = HttpFront(self.core, self.is_ready, self.budget, self.ledger, self.log)
             self.listeners["http"] = Listener(
                 self.config.listen, self.budget, self.system, self.config.inherited_fd
             )
@@ -227,7 +233,7 @@
                 kserve.models, kserve.default_class, kserve.default_tenant, kserve.keepalive_s
             )
             self.fronts["kserve"] = KserveFront(
-                settings, __version__, self.core, self.is_ready, self.budget, self.payloads, self.log
+                settings, __version__, self.core, self.is_ready, self.budget, self.ledger, self.log
             )
             # The platform holds the HTTP socket alone, so both processes of a takeover bind this port.
             self.listeners["kserve"] = Listener(
@@ -278,7 +284,7 @@
         memory_mb = self.config.memory_mb
         if has_peer:
             memory_mb = max(memory_mb // 2, PROGRAM_MB)
-        self.payloads.max_used = payload_bytes(memory_mb)
+        self.ledger.resize(ledger_bytes(memory_mb))
         self.core.max_open_rpcs = max_open_rpcs(memory_mb)
 
     async def _handle_signals(self) -> None:
--- a/sorreldock/protocol/front.py
+++ b/sorreldock/protocol/front.py
@@ -11,13 +11,19 @@
 import trio
 
 from ..routing.types import Log, RPCDispatcher
-from ..transport.admission import EvictionQueue, Stage, select_evictions
-from ..transport.budget import DescriptorBudget, PayloadBudget, Use
+from ..transport.admission import EvictionQueue, Stage
+from ..transport.budget import DescriptorBudget, Use
 from ..transport.connection import Connection
+from ..transport.ledger import Account, MemoryLedger
+from .partial_requests import PartialRequest, PartialRequests
 
 MAX_BODY_BYTES = 256 * 1024  # of a request body or a message
 # Of one request. As an object, a field of some bytes takes some hundred; well-known proxies have this limit.
 MAX_HEADER_FIELDS = 100
+# A share of the payload budget is kept for the first bytes of each request, so that slow large requests don't
+# keep out small ones.
+SMALL_REQUEST_BYTES = 16 * 1024
+SPARED_FOR_SMALL_REQUESTS = 0.125
 # Time limits for clients. A truncated request is recognized by the pause after it: a slow link delivers late
 # but continuously, so a body that still arrives gets a long time.
 # From accepting the connection, or the first byte of a later request, to the end of the request's head.
@@ -37,7 +43,6 @@
     """The interface of a client connection's actor to its front."""
 
     has_sent_request: bool  # whether the client has ever sent a request
-    reserved_bytes: int  # of the payload budget, for the received part of a request
 
     @property
     def stage(self) -> Stage: ...
@@ -77,13 +82,15 @@
         core: RPCDispatcher,
         is_ready: Callable[[], bool],
         budget: DescriptorBudget,
-        payloads: PayloadBudget,
+        ledger: MemoryLedger,
         log: Log,
     ) -> None:
         self.core = core
         self.is_ready = is_ready
         self.budget = budget
-        self.payloads = payloads
+        self.ledger = ledger
+        self.payloads = ledger[Account.PAYLOADS]
+        self.partial_requests = PartialRequests()
         # A dict, so that the order is the same in each replay of a simulation.
         self.clients: dict[ClientT, None] = {}
         # The time from which requests are refused: the process will be killed before it could answer them.
@@ -148,22 +155,20 @@
             client.evict()
         return bool(evicted)
 
-    def reserve_payload(self, client: ClientT, count: int) -> bool:
+    def reserve_payload(self, request: PartialRequest, count: int) -> bool:
         """Reserve memory for bytes of a request, and return whether that succeeded.
 
-        If memory is short, the partial request that has been silent the longest is closed, so that stalled
-        requests don't block those that make progress.
+        If memory is short, partial requests that make too little progress are refused first.
         """
-        while not self.payloads.acquire(count):
-            others = (
-                c for c in self.clients if c.stage is Stage.PARTIAL and c.reserved_bytes and c is not client
-            )
-            stalled = select_evictions(others, trio.current_time(), 1)
-            if not stalled or stalled[0].readable:
+        is_small = request.reserved_bytes + count <= SMALL_REQUEST_BYTES
+        while not self.payloads.acquire(count, 0.0 if is_small else SPARED_FOR_SMALL_REQUESTS):
+            victim = self.partial_requests.choose_victim(trio.current_time(), request)
+            if victim is None:
                 return False
             self.evictions["payload"] += 1
-            stalled[0].evict()
-        client.reserved_bytes += count
+            self.partial_requests.remove(victim)
+            victim.refuse_for_memory()
+        request.reserved_bytes += count
         return True
 
     async def log_evictions(self) -> None:
--- a/sorreldock/protocol/http/client.py
+++ b/sorreldock/protocol/http/client.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 import h11
@@ -89,11 +90,11 @@
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionLost("connection closed without an answer")
 
-    async def send(self, request: h11.Request, body: bytes = b"") -> None:
+    async def send(self, request: h11.Request, body: Sequence[memoryview] = ()) -> None:
         """Write a whole request."""
         parts = [self.parser.send(request) or b""]
-        if body:  # not copied: copies of all bodies in flight would count against the memory limit
-            parts += self.parser.send_with_data_passthrough(h11.Data(data=body)) or []
+        for block in body:  # not copied: copies of all bodies in flight would count against the memory limit
+            parts += self.parser.send_with_data_passthrough(h11.Data(data=block)) or []  # type: ignore[arg-type]
         parts.append(self.parser.send(h11.EndOfMessage()) or b"")
         await self.connection.send(*parts)
 
@@ -257,7 +258,7 @@
                 *payload.other_fields,
             ],
         )
-        await connection.send(request, payload.body)
+        await connection.send(request, payload.body.parts())
         return connection
 
     async def answer(self, exchange: ServerConnection, progress: AttemptProgress) -> AttemptResult:
--- a/sorreldock/protocol/http/connection.py
+++ b/sorreldock/protocol/http/connection.py
@@ -17,6 +17,7 @@
     SinkClosed,
 )
 from ...transport.admission import Stage
+from ...transport.blocks import BlockBuffer
 from ...transport.close_watch import CloseWatch
 from ...transport.connection import Connection, ConnectionLost
 from .. import front as limits
@@ -83,6 +84,10 @@
         self.stage, self.since = Stage.SILENT, self.connected_at
         self.has_sent_request = self.is_closing = False
         self.reserved_bytes = self.pipelined_bytes = 0
+        self.body = BlockBuffer()  # of the request that is being received
+        self.began_at = self.connected_at  # when its first byte was received
+        self.is_refused_for_memory = False
+        self.stall = trio.CancelScope()  # of the wait for more of it
         self.arrivals = Arrivals(self.connected_at)
         self.final: FinalAnswer | None = None
         self.finished = trio.Event()
@@ -111,9 +116,16 @@
 
     def evict(self) -> None:
         self.connection.close()
+        self.body.clear()
         self.release_body()
         self.set_stage(Stage.ANSWERING)  # takes it out of the eviction queue
 
+    def refuse_for_memory(self) -> None:
+        self.is_refused_for_memory = True
+        self.body.clear()
+        self.release_body()
+        self.stall.cancel()
+
     def set_stage(self, stage: Stage) -> None:
         """Enter a stage now, and update the eviction queue."""
         self.stage, self.since = stage, trio.current_time()
@@ -300,6 +312,7 @@
         if self.has_sent_request:
             head_deadline = trio.current_time() + limits.HEAD_TIMEOUT_S
         self.has_sent_request = True
+        self.began_at = trio.current_time()
         with trio.move_on_at(head_deadline):
             request = await self.next_event()
             return request if isinstance(request, h11.Request) else None
@@ -362,35 +375,55 @@
         if request.method != method:
             raise ImmediateAnswer(405, "method not allowed", ((b"allow", method),))
 
-    async def read_body(self, length: bytes = b"0") -> bytes:
+    async def read_body(self, length: bytes = b"0") -> BlockBuffer:
         """Return the body of the request, whose Content-Length is `length`."""
-        if length.isdigit() and int(length) > limits.MAX_BODY_BYTES:
+        expected_bytes = int(length) if length.isdigit() else 0
+        if expected_bytes > limits.MAX_BODY_BYTES:
             raise ImmediateAnswer(413, "the body is larger than 256 KiB", (CLOSE,))
-        parts: list[bytes] = []
-        size = 0
-        with trio.move_on_after(limits.BODY_TIMEOUT_S):
-            while True:
-                with trio.move_on_after(limits.STALL_TIMEOUT_S) as stall:
-                    event = await self.next_event()
-                if stall.cancelled_caught:
-                    raise ImmediateAnswer(408, "the body does not go on", (CLOSE,))
-                if isinstance(event, h11.EndOfMessage):
-                    self.set_stage(Stage.ANSWERING)
-                    return b"".join(parts)
-                if not isinstance(event, h11.Data):
-                    raise ConnectionLost("the client closed the connection within its body")
-                size += len(event.data)
-                if size > limits.MAX_BODY_BYTES:
-                    raise ImmediateAnswer(413, "the body is larger than 256 KiB", (CLOSE,))
-                if self.pipelined_bytes:
-                    self.release_pipelined(len(self.parser.trailing_data[0]))
-                if not self.front.reserve_payload(self, len(event.data)):
-                    raise PayloadRefused
-                parts.append(bytes(event.data))
+        self.body, self.is_refused_for_memory = BlockBuffer(expected_bytes), False
+        self.front.partial_requests.add(self)
+        try:
+            with trio.move_on_after(limits.BODY_TIMEOUT_S):
+                while await self.read_body_part():
+                    pass
+                self.set_stage(Stage.ANSWERING)
+                return self.take_body()
+        finally:
+            self.front.partial_requests.remove(self)
         raise ImmediateAnswer(408, "the body did not arrive in time", (CLOSE,))
 
+    async def read_body_part(self) -> bool:
+        """Read more of the body, and return False at its end."""
+        with trio.move_on_after(limits.STALL_TIMEOUT_S) as self.stall:
+            event = await self.next_event()
+        if self.is_refused_for_memory:
+            raise PayloadRefused
+        if self.stall.cancelled_caught:
+            raise ImmediateAnswer(408, "the body does not go on", (CLOSE,))
+        if isinstance(event, h11.EndOfMessage):
+            return False
+        if not isinstance(event, h11.Data):
+            raise ConnectionLost("the client closed the connection within its body")
+        if len(self.body) + len(event.data) > limits.MAX_BODY_BYTES:
+            raise ImmediateAnswer(413, "the body is larger than 256 KiB", (CLOSE,))
+        if self.pipelined_bytes:
+            self.release_pipelined(len(self.parser.trailing_data[0]))
+        if not self.body.add(event.data, self.reserve_payload):
+            raise PayloadRefused
+        return True
+
+    def reserve_payload(self, count: int) -> bool:
+        """Reserve memory for more of the body, and return whether that succeeded."""
+        return self.front.reserve_payload(self, count)
+
+    def take_body(self) -> BlockBuffer:
+        """Return the received body, which this connection no longer refers to."""
+        body, self.body = self.body, BlockBuffer()
+        return body
+
     async def discard_body(self) -> None:
         """Read the rest of a refused request's body, since further requests may follow it."""
+        self.body.clear()
         self.release_body()
         self.set_stage(Stage.IDLE)
         with trio.move_on_after(limits.BODY_TIMEOUT_S), suppress(ImmediateAnswer):
--- a/sorreldock/protocol/http/fields.py
+++ b/sorreldock/protocol/http/fields.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from ...routing.types import RPC, EventSink
+from ...transport.blocks import BlockBuffer
 
 SERVED_PATH = "/v1/chat/completions"
 EXPIRES_IN_PATTERN = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)([mu])")
@@ -54,7 +55,7 @@
     target: bytes
     trace_id: bytes
     content_type: bytes
-    body: bytes
+    body: BlockBuffer
     other_fields: tuple[tuple[bytes, bytes], ...] = ()  # unknown to the router, in their order
 
 
@@ -161,7 +162,7 @@
         rpc_class=rpc_class,
         expires_in_s=parse_expires_in(required("X-Expires-In")),
         payload=HttpPayload(
-            target, trace_id.encode(), headers.get(b"content-type", b"application/json"), b""
+            target, trace_id.encode(), headers.get(b"content-type", b"application/json"), BlockBuffer()
         ),
         sink=sink,
         session=text("X-Object"),
--- a/sorreldock/protocol/http/front.py
+++ b/sorreldock/protocol/http/front.py
@@ -7,9 +7,10 @@
 import trio
 
 from ...routing.types import Log, RPCDispatcher
-from ...transport.budget import DescriptorBudget, PayloadBudget
+from ...transport.budget import DescriptorBudget
 from ...transport.close_watch import CloseWatch
 from ...transport.connection import Connection
+from ...transport.ledger import MemoryLedger
 from ..front import Front
 from .closing import Closing
 from .connection import ClientConnection
@@ -23,10 +24,10 @@
         core: RPCDispatcher,
         is_ready: Callable[[], bool],
         budget: DescriptorBudget,
-        payloads: PayloadBudget,
+        ledger: MemoryLedger,
         log: Log,
     ) -> None:
-        super().__init__(core, is_ready, budget, payloads, log)
+        super().__init__(core, is_ready, budget, ledger, log)
         self.closing = Closing()
         self._close_watch = CloseWatch()
 
--- a/sorreldock/protocol/kserve/call.py
+++ b/sorreldock/protocol/kserve/call.py
@@ -12,7 +12,7 @@
 
 from ...kserve import kserve_pb2 as pb
 from ...kserve.framing import SERVICE, Code, Deframer, GrpcError, Headers, frame, trailers
-from ...routing.types import FinalAnswer, NameTaken, Overloaded, SinkClosed
+from ...routing.types import RPC, FinalAnswer, NameTaken, Overloaded, SinkClosed
 from ...transport.connection import ConnectionLost
 from .. import front as limits
 from .metadata import OWN_PREFIX, StreamHead, error_status_of, rpc_from
@@ -34,6 +34,7 @@
         self.scope = trio.CancelScope()
         self.deframer = Deframer(limits.MAX_BODY_BYTES)
         self.reserved_bytes = 0  # of the payload budget
+        self.began_at = trio.current_time()
         self.unacknowledged_bytes = 0  # received, not yet acknowledged for flow control
         self.last_arrival_age_s = 0.0  # how long the kernel held the last received bytes
         self.exceeds_budget = False  # a message didn't fit into the payload budget
@@ -80,13 +81,19 @@
         """Add received data; `length` is its size for flow control, with padding."""
         self.unacknowledged_bytes += length
         self.last_arrival_age_s = self.client.wire.connection.last_arrival_age_s()
-        if self.client.front.payloads.acquire(len(data)):
-            self.reserved_bytes += len(data)
+        if not self.exceeds_budget and self.client.front.reserve_payload(self, len(data)):
             self.deframer.feed(data)
+            self.client.front.partial_requests.add(self)
         else:
             self.exceeds_budget = True
         self.notify()
 
+    def refuse_for_memory(self) -> None:
+        self.exceeds_budget = True
+        self.deframer.clear()
+        self.release_payload()
+        self.notify()
+
     def release_payload(self) -> None:
         """Release the payload budget of the received messages."""
         self.client.front.payloads.release(self.reserved_bytes)
@@ -123,13 +130,16 @@
 
     async def next_message(self) -> bytes | None:
         """Return the next request message; None once the client has half-closed the stream."""
+        self.began_at = trio.current_time()
         while True:
             if self.exceeds_budget:
+                self.deframer.clear()
                 raise GrpcError(
                     Code.UNAVAILABLE, "too many large requests", [("grpc-retry-pushback-ms", "1000")]
                 )
             message = self.deframer.next()
             if message is not None:
+                self.client.front.partial_requests.remove(self)
                 self.acknowledge_received()
                 return message
             if self.ended:
@@ -190,7 +200,10 @@
             raise GrpcError(Code.UNIMPLEMENTED, "compressed messages are not supported")
         if method == "ModelStreamInfer":
             while (message := await self.next_message()) is not None:
-                await self.infer(method, message)
+                request = self.create_rpc(method, message)
+                del message  # held by the RPC alone, which drops it once its answer has begun
+                await self.serve_rpc(request)
+                del request
             if not self.head_sent:
                 await self.send(b"")
             return
@@ -203,12 +216,14 @@
         if message is None:
             raise GrpcError(Code.INVALID_ARGUMENT, "a unary call without a message")
         if method == "ModelInfer":
-            await self.infer(method, message)
+            rpc = self.create_rpc(method, message)
+            del message
+            await self.serve_rpc(rpc)
             return
         await self.send(frame(self.client.front.answer_locally(method, message).SerializeToString()))
 
-    async def infer(self, method: str, message: bytes) -> None:
-        """Run one RPC, from its request message to its final answer."""
+    def create_rpc(self, method: str, message: bytes) -> RPC:
+        """Return the RPC of a request message; raise GrpcError for an invalid one or if none is accepted."""
         front = self.client.front
         if front.is_refusing:
             raise GrpcError(Code.UNAVAILABLE, "stopping")
@@ -218,6 +233,11 @@
         front.check_model(request.model_name)
         rpc = rpc_from(self.head, method, message, request.id, front.settings, front.core, self)
         rpc.expires_in_s = max(rpc.expires_in_s - self.last_arrival_age_s, limits.MIN_EXPIRES_IN_S)
+        return rpc
+
+    async def serve_rpc(self, rpc: RPC) -> None:
+        """Run an RPC to its final answer; raise GrpcError for an error status."""
+        front = self.client.front
         self.final, self.finished = None, trio.Event()
         try:
             front.core.submit(rpc)
--- a/sorreldock/protocol/kserve/connection.py
+++ b/sorreldock/protocol/kserve/connection.py
@@ -29,8 +29,6 @@
 class ClientConnection:
     """The actor of one client connection, which alone reads from its wire, with its streams."""
 
-    reserved_bytes = 0  # each stream reserves its own; a connection with streams is in the stage ANSWERING
-
     def __init__(self, front: KserveFront, connection: Connection) -> None:
         self.front = front
         self.wire = FrontWire(connection, MAX_STREAMS)
@@ -79,6 +77,7 @@
     def remove_stream(self, stream: ClientStream) -> None:
         """Remove a stream that has ended, and close the connection if it was the last after GOAWAY."""
         self.streams.pop(stream.number, None)
+        self.front.partial_requests.remove(stream)
         stream.release_payload()
         # Unread data must not reduce the connection's flow-control window for other streams.
         if stream.unacknowledged_bytes:
--- a/sorreldock/protocol/kserve/front.py
+++ b/sorreldock/protocol/kserve/front.py
@@ -9,8 +9,9 @@
 from ...kserve import kserve_pb2 as pb
 from ...kserve.framing import Code, GrpcError
 from ...routing.types import Log, RPCDispatcher
-from ...transport.budget import DescriptorBudget, PayloadBudget
+from ...transport.budget import DescriptorBudget
 from ...transport.connection import Connection, ConnectionLost
+from ...transport.ledger import MemoryLedger
 from ..front import Front
 from .call import parse
 from .connection import ClientConnection
@@ -29,10 +30,10 @@
         core: RPCDispatcher,
         is_ready: Callable[[], bool],
         budget: DescriptorBudget,
-        payloads: PayloadBudget,
+        ledger: MemoryLedger,
         log: Log,
     ) -> None:
-        super().__init__(core, is_ready, budget, payloads, log)
+        super().__init__(core, is_ready, budget, ledger, log)
         self.settings = settings
         self.version = version
         self.accepting = True
--- a/sorreldock/transport/budget.py
+++ b/sorreldock/transport/budget.py
@@ -1,4 +1,4 @@
-"""Budgets for scarce resources: the sockets of clients and subchannels, and the bytes of requests."""
+"""The budget of descriptors: the sockets of clients and subchannels."""
 
 from __future__ import annotations
 
@@ -115,24 +115,3 @@
         """Wait until a descriptor has been released, or for `timeout_s`."""
         with trio.move_on_after(timeout_s):
             await self._waiting.park()
-
-
-class PayloadBudget:
-    """Counts the bytes of requests held in memory and keeps them below the memory limit.
-
-    Beyond it, requests are refused instead of buffered when many large ones arrive together.
-    """
-
-    def __init__(self, max_used: int) -> None:
-        self.max_used = max_used
-        self.used = 0
-
-    def acquire(self, count: int) -> bool:
-        """Acquire memory for `count` bytes; return False if it would exceed the budget."""
-        if self.used + count > self.max_used:
-            return False
-        self.used += count
-        return True
-
-    def release(self, count: int) -> None:
-        self.used -= count
--- a/sorreldock/transport/connection.py
+++ b/sorreldock/transport/connection.py
@@ -117,7 +117,7 @@
         """Free the memory for received data while no request is in progress."""
         self._incoming.free_memory()
 
-    async def send(self, *parts: bytes) -> None:
+    async def send(self, *parts: bytes | memoryview) -> None:
         """Write all parts, gathered in the ring buffer so that a short head leaves together with its body."""
         try:
             for part in parts:
