--- a/sorreldock/kserve/framing.py
+++ b/sorreldock/kserve/framing.py
@@ -14,6 +14,7 @@
 MAX_HEADER_LIST_BYTES = 16 * 1024
 TIMEOUT_PATTERN = re.compile(r"(\d{1,8})([HMSmun])")
 CONNECTION_PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+PREFIX = struct.Struct(">BI")  # of a message: whether it is compressed, and its length
 TIMEOUT_UNITS_S = {"H": 3600.0, "M": 60.0, "S": 1.0, "m": 1e-3, "u": 1e-6, "n": 1e-9}
 Headers = list[tuple[str, str]]
 
@@ -73,7 +74,7 @@
 
 def frame(message: bytes) -> bytes:
     """Return an uncompressed message with gRPC's length prefix."""
-    return struct.pack(">BI", 0, len(message)) + message
+    return PREFIX.pack(0, len(message)) + message
 
 
 class Deframer:
@@ -82,11 +83,21 @@
     def __init__(self, max_message_bytes: int) -> None:
         self._max_message_bytes = max_message_bytes
         self._data = bytearray()
+        self._rest_bytes = 0  # of a message whose first part has been returned by `take_part`
+
+    def __len__(self) -> int:
+        """Return the number of buffered bytes."""
+        return len(self._data)
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether a part of the present message has been returned."""
+        return self._rest_bytes > 0
 
     @property
     def partial(self) -> bool:
-        """Whether data is buffered that has not been returned as a message."""
-        return bool(self._data)
+        """Whether a message has begun that has not been returned to its end."""
+        return bool(self._data) or self._rest_bytes > 0
 
     def feed(self, data: bytes) -> None:
         """Append data of the stream."""
@@ -96,23 +107,49 @@
         """Drop what has not been returned."""
         self._data = bytearray()
 
-    def next(self) -> bytes | None:
-        """Return the next whole message, or None if more data is needed.
+    def _buffered_message_bytes(self) -> int | None:
+        """Return the length of the next message with its prefix; None before the prefix is complete.
 
         Raise GrpcError for a message that is compressed or too large.
         """
-        if len(self._data) < 5:
+        if len(self._data) < PREFIX.size:
             return None
-        compressed, length = struct.unpack_from(">BI", self._data)
+        compressed, length = PREFIX.unpack_from(self._data)
         if compressed:
             raise GrpcError(Code.UNIMPLEMENTED, "compressed messages are not supported")
         if length > self._max_message_bytes:
             raise GrpcError(Code.RESOURCE_EXHAUSTED, f"a message of {length} bytes is too large")
-        if len(self._data) < 5 + length:
+        return PREFIX.size + int(length)
+
+    def _take(self, count: int) -> bytes:
+        data = bytes(self._data[:count])
+        del self._data[:count]
+        return data
+
+    def next(self) -> bytes | None:
+        """Return the next whole message, or None if more data is needed.
+
+        Raise GrpcError for a message that is compressed or too large.
+        """
+        framed = self.next_framed()
+        return None if framed is None else framed[PREFIX.size :]
+
+    def next_framed(self) -> bytes | None:
+        """Return the next whole message with its prefix, or the rest of one that was returned in part."""
+        if self._rest_bytes:
+            part = self._take(min(self._rest_bytes, len(self._data)))
+            self._rest_bytes -= len(part)
+            return part or None
+        size = self._buffered_message_bytes()
+        return self._take(size) if size is not None and size <= len(self._data) else None
+
+    def take_part(self) -> bytes | None:
+        """Return what is buffered of an incomplete message, with its prefix; None without that."""
+        size = self._buffered_message_bytes()
+        if size is None or self._rest_bytes:
             return None
-        message = bytes(self._data[5 : 5 + length])
-        del self._data[: 5 + length]
-        return message
+        self._rest_bytes = size - len(self._data)
+        return self._take(len(self._data))
 
 
 @dataclass(frozen=True, slots=True)
--- a/sorreldock/lab/hostile/honest.py
+++ b/sorreldock/lab/hostile/honest.py
@@ -15,6 +15,7 @@
 
 ANSWER_SLACK_S = 0.5  # an answer this long after its time limit has no value, a later one counts as lost
 DONE = b"data: [DONE]"
+REFUSED_STREAM = 7  # RFC 9113, 7
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -73,6 +74,10 @@
             for event in connection.h2.receive_data(data):
                 if isinstance(event, h2.events.ResponseReceived | h2.events.TrailersReceived):
                     fields |= {str(k): str(v) for k, v in event.headers or []}
+                elif isinstance(event, h2.events.ConnectionTerminated) and event.last_stream_id == 0:
+                    return Result.REFUSED  # proven unprocessed (RFC 9113, 6.8)
+                elif isinstance(event, h2.events.StreamReset) and event.error_code == REFUSED_STREAM:
+                    return Result.REFUSED
                 elif isinstance(event, h2.events.StreamEnded):
                     return _result_of_status(fields.get("grpc-status", ""))
             await connection.flush()
--- a/sorreldock/lab/simulation/mutants.py
+++ b/sorreldock/lab/simulation/mutants.py
@@ -105,36 +105,36 @@
 
 
 def _reordered() -> list[Patch]:
-    send_event = ClientConnection.send_event
+    send_events = ClientConnection.send_events
     delayed_events: dict[Any, bytes] = {}
 
-    async def swap_events(self: ClientConnection, data: bytes) -> None:
+    async def swap_events(self: ClientConnection, *events: bytes) -> None:
+        data = b"".join(events)
         if self.head_sent and self not in delayed_events and b"[DONE]" not in data:
             delayed_events[self] = data
             return
-        await send_event(self, data + delayed_events.pop(self, b""))
+        await send_events(self, data + delayed_events.pop(self, b""))
 
-    return [(ClientConnection, "send_event", swap_events)]
+    return [(ClientConnection, "send_events", swap_events)]
 
 
 def _dropped() -> list[Patch]:
-    send_event = ClientConnection.send_event
+    send_events = ClientConnection.send_events
 
-    async def drop_event(self: ClientConnection, data: bytes) -> None:
-        if b'"w2 "' not in data:
-            await send_event(self, data)
+    async def drop_event(self: ClientConnection, *events: bytes) -> None:
+        await send_events(self, *(data for data in events if b'"w2 "' not in data))
 
-    return [(ClientConnection, "send_event", drop_event)]
+    return [(ClientConnection, "send_events", drop_event)]
 
 
 def _held() -> list[Patch]:
-    send_event = ClientConnection.send_event
+    send_events = ClientConnection.send_events
 
-    async def delay_event(self: ClientConnection, data: bytes) -> None:
+    async def delay_event(self: ClientConnection, *events: bytes) -> None:
         await trio.sleep(0.06)
-        await send_event(self, data)
+        await send_events(self, *events)
 
-    return [(ClientConnection, "send_event", delay_event)]
+    return [(ClientConnection, "send_events", delay_event)]
 
 
 def _descriptor_leak() -> list[Patch]:
--- a/sorreldock/program/serve.py
+++ b/sorreldock/program/serve.py
@@ -10,7 +10,7 @@
 import trio
 
 from .. import __version__
-from ..protocol.front import Front
+from ..protocol.front import Front, Resources
 from ..protocol.http.client import HttpServerClient
 from ..protocol.http.discovery import Resolver
 from ..protocol.http.front import HttpFront
@@ -21,6 +21,7 @@
 from ..transport.ledger import Account, AccountBudget, MemoryLedger
 from ..transport.listener import Listener
 from ..transport.system import REAL_SYSTEM, System
+from ..transport.turns import Turns
 from . import early_reload
 from .calls import OperatorCommands
 from .config import Config
@@ -91,6 +92,7 @@
         self.takeover: Takeover | None = None
         self.budget = DescriptorBudget(config.sockets)
         self.ledger = MemoryLedger(ledger_bytes(config.memory_mb))
+        self.turns = Turns()
         self.fronts: dict[str, Front[Any]] = {}
         self.listeners: dict[str, Listener] = {}
         self.addresses: dict[str, str] = {}  # where each front listens, by protocol
@@ -117,6 +119,7 @@
                 limits.connect_timeout_s,
                 limits.conn_idle_s,
                 probe_path,
+                self.ledger[Account.EVENTS],
                 self._dial,
                 max(IDLE_CONNECTIONS_PER_SERVER // self.config.settings.gateways, MIN_IDLE_CONNECTIONS),
             )
@@ -125,7 +128,12 @@
             from ..protocol.kserve.client import KserveServerClient
 
             clients["kserve"] = KserveServerClient(
-                endpoint, self.budget, limits.connect_timeout_s, limits.conn_idle_s, self._dial
+                endpoint,
+                self.budget,
+                limits.connect_timeout_s,
+                limits.conn_idle_s,
+                self.ledger[Account.EVENTS],
+                self._dial,
             )
         return clients
 
@@ -220,8 +228,9 @@
 
     def _open_fronts(self) -> None:
         operator = self.config.operator
+        resources = Resources(self.budget, self.ledger, self.turns)
         if operator.http:
-            self.fronts["http"] = HttpFront(self.core, self.is_ready, self.budget, self.ledger, self.log)
+            self.fronts["http"] = HttpFront(self.core, self.is_ready, resources, self.log)
             self.listeners["http"] = Listener(
                 self.config.listen, self.budget, self.system, self.config.inherited_fd
             )
@@ -233,7 +242,7 @@
                 kserve.models, kserve.default_class, kserve.default_tenant, kserve.keepalive_s
             )
             self.fronts["kserve"] = KserveFront(
-                settings, __version__, self.core, self.is_ready, self.budget, self.ledger, self.log
+                settings, __version__, self.core, self.is_ready, resources, self.log
             )
             # The platform holds the HTTP socket alone, so both processes of a takeover bind this port.
             self.listeners["kserve"] = Listener(
--- a/sorreldock/program/syslog.py
+++ b/sorreldock/program/syslog.py
@@ -28,6 +28,7 @@
 MAX_WAITING_RECORDS = 2000
 DIAL_TIMEOUT_S = 2.0
 WRITE_TIMEOUT_S = 5.0
+SD_ESCAPED = re.compile(r'["\\\]]')
 NOT_PRINTABLE_ASCII = re.compile(r"[^\x21-\x7e]")
 
 
@@ -41,10 +42,14 @@
     return re.sub(r'[^\x21-\x7e]|[="\]]', "_", text)[:32] or "_"
 
 
+def printable(text: str) -> str:
+    """Return a text with a space in place of each character that can't be printed."""
+    return text if text.isprintable() else "".join(c if c.isprintable() else " " for c in text)
+
+
 def sd_value(value: object) -> str:
     r"""Escape `"`, `\` and `]` in a parameter's value (RFC 5424 section 6.3.3), and replace line breaks."""
-    text = "".join(c if c.isprintable() else " " for c in str(value))
-    return re.sub(r'(["\\\]])', r"\\\1", text)
+    return SD_ESCAPED.sub(r"\\\g<0>", printable(str(value)))
 
 
 def record(
@@ -55,7 +60,7 @@
     parameters = "".join(f' {sd_name(name)}="{sd_value(value)}"' for name, value in data.items())
     structured = f"[{SD_ID}{parameters}]" if parameters else "-"
     priority = FACILITY * 8 + SEVERITIES[severity]
-    message = "".join(char if char.isprintable() else " " for char in text)
+    message = printable(text)
     header = (
         f"<{priority}>1 {timestamp} {header_field(host, 255)} sorreldock {pid} "
         f"{header_field(message_id, 32)} {structured} "
--- a/sorreldock/protocol/front.py
+++ b/sorreldock/protocol/front.py
@@ -6,6 +6,7 @@
 from abc import ABC, abstractmethod
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Generic, Protocol, TypeVar
 
 import trio
@@ -14,7 +15,8 @@
 from ..transport.admission import EvictionQueue, Stage
 from ..transport.budget import DescriptorBudget, Use
 from ..transport.connection import Connection
-from ..transport.ledger import Account, MemoryLedger
+from ..transport.ledger import Account, Holding, MemoryLedger
+from ..transport.turns import Turns
 from .partial_requests import PartialRequest, PartialRequests
 
 MAX_BODY_BYTES = 256 * 1024  # of a request body or a message
@@ -35,10 +37,21 @@
 LINGERING_CLOSE_QUIET_S = 1.0  # after this time without a byte no more are expected
 DRAINING_FIRST_BYTE_TIMEOUT_S = 1.0  # for the first byte or stream of a new client while draining
 CLOSE_POLL_S = 0.01
+MAX_UNSENT_BYTES = 64 * 1024  # of an answer in the kernel, beyond what is on its way
+BYTES_PER_TURN = 16 * 1024  # more of an answer at once counts as more turns
 MIN_EXPIRES_IN_S = 0.001  # for a request whose deadline has passed; the decision module then fails it
 MAX_EVICTED_AT_ONCE = 8  # connections closed in one step, if their time limits have passed
 
 
+@dataclass(frozen=True, slots=True)
+class Resources:
+    """What the connections of all fronts share."""
+
+    budget: DescriptorBudget
+    ledger: MemoryLedger
+    turns: Turns
+
+
 class FrontConnection(Protocol):
     """The interface of a client connection's actor to its front."""
 
@@ -77,19 +90,21 @@
 class Front(ABC, Generic[ClientT]):
     """The client connections of one protocol."""
 
+    connection_bytes = 0  # of memory that a connection takes without its requests
+
     def __init__(
         self,
         core: RPCDispatcher,
         is_ready: Callable[[], bool],
-        budget: DescriptorBudget,
-        ledger: MemoryLedger,
+        resources: Resources,
         log: Log,
     ) -> None:
         self.core = core
         self.is_ready = is_ready
-        self.budget = budget
-        self.ledger = ledger
-        self.payloads = ledger[Account.PAYLOADS]
+        budget = self.budget = resources.budget
+        self.ledger = resources.ledger
+        self.payloads = self.ledger[Account.PAYLOADS]
+        self.turns = resources.turns
         self.partial_requests = PartialRequests()
         # A dict, so that the order is the same in each replay of a simulation.
         self.clients: dict[ClientT, None] = {}
@@ -108,6 +123,10 @@
     def create_client(self, connection: Connection) -> ClientT:
         """Return the actor for a new connection."""
 
+    @abstractmethod
+    async def refuse_connection(self, connection: Connection) -> None:
+        """Tell a client that there is no memory for its connection."""
+
     @abstractmethod
     async def announce_close(self) -> None:
         """Announce to clients that their connections will close, but accept further requests."""
@@ -126,6 +145,19 @@
 
     async def handle(self, connection: Connection, has_sent_request: bool = False) -> None:
         """Serve a client connection to its end."""
+        connection.limit_unsent(MAX_UNSENT_BYTES)
+        holding = Holding(self.ledger[Account.CONNECTIONS])
+        try:
+            if holding.acquire(self.connection_bytes) or (
+                self.evict_clients() and holding.acquire(self.connection_bytes)
+            ):
+                await self._serve(connection, has_sent_request)
+            else:
+                await self.refuse_connection(connection)
+        finally:
+            holding.release_all()
+
+    async def _serve(self, connection: Connection, has_sent_request: bool) -> None:
         client = self.create_client(connection)
         client.has_sent_request = has_sent_request
         self.clients[client] = None
--- a/sorreldock/protocol/http/client.py
+++ b/sorreldock/protocol/http/client.py
@@ -4,16 +4,18 @@
 
 import json
 import math
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
+from functools import partial
 
 import h11
 
-from ...completeness import check_event_stream, is_end_event
+from ...completeness import IncompleteAnswer, check_event_stream, is_end_event
 from ...interface import Metric, Status
 from ...routing.types import RPC, AttemptProgress, AttemptResult
 from ...transport.budget import DescriptorBudget
 from ...transport.connection import Connection, ConnectionLost, Dial, dial
+from ...transport.ledger import AccountBudget, Holding
 from ...transport.pool import ConnectionPool
 from .. import server_client
 from ..loads import LOAD_REPORT_HEADER, parse_load
@@ -45,7 +47,9 @@
 class ServerConnection:
     """A connection to a server, with its HTTP parser."""
 
-    def __init__(self, connection: Connection) -> None:
+    def __init__(self, events: AccountBudget, connection: Connection) -> None:
+        """`events` is the account of answers that are on their way to clients."""
+        self.events = events
         self.connection = connection
         self.parser = h11.Connection(h11.CLIENT)
         self.chunked = False
@@ -71,6 +75,14 @@
             else:
                 return event  # type: ignore[return-value]
 
+    def buffered_event(self) -> h11.Event | None:
+        """Return the next event of the answer if it has been received already, else None."""
+        try:
+            event = self.parser.next_event()
+        except h11.RemoteProtocolError as error:
+            raise ServerProtocolError(str(error)) from None
+        return event if isinstance(event, h11.Data | h11.EndOfMessage) else None
+
     async def read_head(self) -> AnswerHead:
         """Return what is used of the answer's head, skipping informational responses."""
         while True:
@@ -125,9 +137,10 @@
         self.cached_tokens = 0
         self.load: dict[Metric, float] = {}
         self.has_end_event = False
+        self._continues_line = False  # whether what follows is the rest of a line
         self._buffer = bytearray()
 
-    def feed(self, data: bytes) -> bytes:
+    def feed(self, data: bytes | bytearray) -> bytes:
         """Return the events that the data completes, unchanged.
 
         Raises ServerProtocolError for invalid lines, which must not reach the client, and for an event that
@@ -148,8 +161,20 @@
 
     @property
     def has_part(self) -> bool:
-        """Whether a part of an event has been fed."""
-        return bool(self._buffer)
+        """Whether an event has begun that has not been returned to its end."""
+        return bool(self._buffer) or self._continues_line
+
+    def __len__(self) -> int:
+        """Return the number of buffered bytes."""
+        return len(self._buffer)
+
+    def take_part(self) -> bytes:
+        """Return what has been fed of an incomplete event, whose rest comes with the next events."""
+        part = bytes(self._buffer)
+        self._buffer.clear()
+        self._parse(part)
+        self._continues_line = not part.endswith(b"\n")
+        return part
 
     def remainder(self) -> bytes:
         """Return what is left at the end of the stream: the last event without its blank line, or nothing.
@@ -162,7 +187,11 @@
         return remainder
 
     def _parse(self, data: bytes) -> None:
-        for line in data.split(b"\n"):
+        lines = data.split(b"\n")
+        if self._continues_line:  # its field name was checked with its first part
+            self._continues_line = len(lines) == 1
+            del lines[0]
+        for line in lines:
             if line.startswith(LOAD_REPORT_PREFIX):
                 self.load = parse_load(line[len(LOAD_REPORT_PREFIX) :].decode("latin-1"))
             elif line.startswith(b"data: {") and b'"usage"' in line:
@@ -186,39 +215,64 @@
     def __init__(self, connection: ServerConnection, load: dict[Metric, float]) -> None:
         self.splitter = EventSplitter()
         self.splitter.load = load
+        self.holding = Holding(connection.events)
         self._connection = connection
         self._chunk = bytearray()
         self._has_ended = False
+        self._error: Exception | None = None
 
     def partial_received_at(self) -> float:
         """Return when the last bytes of an incomplete event were received; -inf if there is none."""
         has_part = self._chunk or self.splitter.has_part or self._connection.parser.trailing_data[0]
         return self._connection.received_at() if has_part else -math.inf
 
-    async def next_events(self) -> bytes:
-        """Return the next whole events; nothing at the end of the answer.
+    async def next_events(self) -> list[bytes]:
+        """Return the whole events that have been received, at least one; none at the end of the answer.
 
-        May be cancelled and called again. Raises ConnectionLost for an answer that is cut off,
-        IncompleteAnswer for one that ends early and ServerProtocolError for an invalid one.
+        When memory is short, the last one may be a part of an event. May be cancelled and called again.
+        Raises ConnectionLost for an answer that is cut off, IncompleteAnswer for one that ends early and
+        ServerProtocolError for an invalid one.
         """
-        events = b""
+        events: list[bytes] = []
         while not events and not self._has_ended:
-            event = await self._connection.next_event()
-            if isinstance(event, h11.EndOfMessage):
-                self._has_ended = True
-                return self.splitter.remainder()
-            if not isinstance(event, h11.Data):
-                raise ConnectionLost("connection closed within the stream")
-            # A chunk is used once it is complete: one with a wrong size or without an end holds no valid
-            # events.
-            self._chunk += event.data
-            if len(self._chunk) > server_client.MAX_EVENT_BYTES:
-                raise ServerProtocolError("chunk too large")
-            if event.chunk_end or not self._connection.chunked:
-                events = self.splitter.feed(bytes(self._chunk))
-                self._chunk.clear()
+            if self._error is not None:
+                raise self._error
+            events += self._accept(await self._connection.next_event())
+        try:
+            while not self._has_ended and (event := self._connection.buffered_event()) is not None:
+                events += self._accept(event)
+        except (ConnectionLost, ServerProtocolError, IncompleteAnswer) as error:
+            self._error = error  # raised once the events before it are forwarded
         return events
 
+    def _accept(self, event: h11.Event) -> Iterator[bytes]:
+        """Yield the events that the next part of the answer completes."""
+        if isinstance(event, h11.EndOfMessage):
+            remainder = self.splitter.remainder()
+            self._has_ended = True
+            if remainder:
+                yield remainder
+            return
+        if not isinstance(event, h11.Data):
+            raise ConnectionLost("connection closed within the stream")
+        # A chunk is used once it is complete: one with a wrong size or without an end holds no valid
+        # events.
+        self._chunk += event.data
+        self.holding.hold(len(event.data))
+        if len(self._chunk) > server_client.MAX_EVENT_BYTES:
+            raise ServerProtocolError("chunk too large")
+        if event.chunk_end or not self._connection.chunked or self._must_forward_part(len(self._chunk)):
+            events = self.splitter.feed(self._chunk)
+            self._chunk.clear()
+            if events:
+                yield events
+        if self._must_forward_part(len(self.splitter)):
+            yield self.splitter.take_part()
+
+    def _must_forward_part(self, size: int) -> bool:
+        """Return whether memory is too short to wait for the end of a chunk or event of this size so far."""
+        return size >= server_client.MIN_PART_BYTES and self.holding.account.is_full
+
 
 class HttpServerClient(PooledServerClient[ServerConnection, ServerConnection]):
     """Attempts and probes at one server over HTTP/1.1."""
@@ -230,12 +284,20 @@
         connect_timeout_s: float,
         conn_idle_s: float,
         probe_path: str,
+        events: AccountBudget,
         dial: Dial = dial,
         max_idle: int = 1 << 30,
     ) -> None:
         super().__init__(
             ConnectionPool(
-                address, ServerConnection, budget, connect_timeout_s, conn_idle_s, dial, max_idle, MIN_IDLE_S
+                address,
+                partial(ServerConnection, events),
+                budget,
+                connect_timeout_s,
+                conn_idle_s,
+                dial,
+                max_idle,
+                MIN_IDLE_S,
             )
         )
         self._host = address.encode()
@@ -272,11 +334,18 @@
                 return AttemptResult(Status.OK, load, note=note, server_status=head.status)
             return AttemptResult(Status.FULL if never_ran else Status.ERROR, load, note=note)
         answer = AnswerReader(exchange, load)
+        try:
+            return await self._forward_answer(answer, progress)
+        finally:
+            answer.holding.release_all()
+
+    async def _forward_answer(self, answer: AnswerReader, progress: AttemptProgress) -> AttemptResult:
         events = await read_while_received(
             answer.next_events, server_client.FIRST_EVENT_TIMEOUT_S, answer.partial_received_at
         )
         while events:
-            await progress.forward_event(events)
+            await progress.forward_events(*events)
+            answer.holding.release(sum(map(len, events)))
             events = await self.read_within_event_gap(
                 progress, answer.next_events, answer.partial_received_at
             )
--- a/sorreldock/protocol/http/connection.py
+++ b/sorreldock/protocol/http/connection.py
@@ -4,6 +4,7 @@
 
 from contextlib import suppress
 from dataclasses import replace
+from functools import partial
 
 import h11
 import trio
@@ -20,6 +21,7 @@
 from ...transport.blocks import BlockBuffer
 from ...transport.close_watch import CloseWatch
 from ...transport.connection import Connection, ConnectionLost
+from ...transport.turns import Share
 from .. import front as limits
 from ..front import Front
 from .arrivals import Arrivals
@@ -76,6 +78,8 @@
         self.closing = closing
         self.close_watch = close_watch
         self.connection = connection
+        self.share = Share()
+        connection.before_read = partial(front.turns.wait, self.share)
         self.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         # Cancelled to close the connection between requests. Each wait has its own scope, since a scope can
         # be used only once: with a single one every kept-alive connection failed at its second request.
@@ -133,18 +137,22 @@
 
     # Called by the core: the methods of EventSink.
 
-    async def send_event(self, data: bytes) -> None:
+    async def send_events(self, *events: bytes) -> None:
+        size = sum(map(len, events))
+        await self.front.turns.wait(self.share, 1.0 + size / limits.BYTES_PER_TURN)
         if self.final is not None:
             raise SinkClosed
-        head = b""
+        parts: list[bytes] = []
         if not self.head_sent:
             self.head_sent = True
             self.release_body()
-            head = self.encode(
-                h11.Response(status_code=200, headers=[*STREAM_HEAD, *self.connection_fields()])
+            parts.append(
+                self.encode(h11.Response(status_code=200, headers=[*STREAM_HEAD, *self.connection_fields()]))
             )
+        for event in events:  # not copied: copies for all slow readers would count against the memory limit
+            parts += self.parser.send_with_data_passthrough(h11.Data(data=event)) or []
         try:
-            await self.write(head + self.encode(h11.Data(data=data)))
+            await self.write(*parts)
         except ConnectionLost:
             raise SinkClosed from None
 
@@ -161,10 +169,10 @@
         """Return the bytes of an event of the answer; raise LocalProtocolError if it is out of order."""
         return self.parser.send(event) or b""
 
-    async def write(self, data: bytes) -> None:
-        """Write data; raise ConnectionLost if the connection fails or the client does not read in time."""
+    async def write(self, *parts: bytes) -> None:
+        """Write parts; raise ConnectionLost if the connection fails or the client does not read in time."""
         with trio.move_on_after(limits.WRITE_TIMEOUT_S) as scope:
-            await self.connection.send(data)
+            await self.connection.send(*parts)
         if scope.cancelled_caught:  # frees memory and servers from a client that never reads
             raise ClientStalled("the client does not read its answer")
 
@@ -312,6 +320,10 @@
         if self.has_sent_request:
             head_deadline = trio.current_time() + limits.HEAD_TIMEOUT_S
         self.has_sent_request = True
+        if self.parser.trailing_data[0]:  # received already, so that no read waits for a turn
+            await self.front.turns.wait(self.share)
+        if self.connection.closed_by_peer:  # what it sent before has nobody left to answer
+            return None
         self.began_at = trio.current_time()
         with trio.move_on_at(head_deadline):
             request = await self.next_event()
--- a/sorreldock/protocol/kserve/call.py
+++ b/sorreldock/protocol/kserve/call.py
@@ -14,6 +14,7 @@
 from ...kserve.framing import SERVICE, Code, Deframer, GrpcError, Headers, frame, trailers
 from ...routing.types import RPC, FinalAnswer, NameTaken, Overloaded, SinkClosed
 from ...transport.connection import ConnectionLost
+from ...transport.ledger import Holding
 from .. import front as limits
 from .metadata import OWN_PREFIX, StreamHead, error_status_of, rpc_from
 
@@ -26,7 +27,9 @@
 class ClientStream:
     """A client's stream, and the event sink of its current RPC."""
 
-    def __init__(self, client: ClientConnection, number: int, headers: Headers) -> None:
+    def __init__(self, client: ClientConnection, number: int, headers: Headers, holding: Holding) -> None:
+        """Create a stream whose memory is counted by `holding`."""
+        self.holding = holding
         self.client = client
         self.number = number
         self.head = StreamHead(number, headers)
@@ -54,12 +57,16 @@
 
     # The interface for the core.
 
-    async def send_event(self, data: bytes) -> None:
+    async def send_events(self, *events: bytes) -> None:
+        """Send messages with their length prefixes."""
+        size = sum(map(len, events))
+        await self.client.front.turns.wait(self.client.share, 1.0 + size / limits.BYTES_PER_TURN)
         if self.final is not None or self.reset:
             raise SinkClosed
         self.release_payload()  # an answer has started: the core no longer holds the payload
         try:
-            await self.send(frame(data))
+            for event in events:
+                await self.send(event)
         except (ConnectionLost, h2.exceptions.ProtocolError):
             raise SinkClosed from None
 
@@ -108,6 +115,7 @@
         view = memoryview(data)
         with trio.move_on_after(limits.WRITE_TIMEOUT_S) as scope:
             while view:
+                await wire.wait_for_room()
                 if self.reset:
                     raise ConnectionLost("the client has cancelled the stream")
                 window = wire.send_window(self.number)
--- a/sorreldock/protocol/kserve/client.py
+++ b/sorreldock/protocol/kserve/client.py
@@ -18,6 +18,7 @@
 from ...kserve import kserve_pb2 as pb
 from ...kserve.framing import (
     MAX_ANSWER_MESSAGE_BYTES,
+    PREFIX,
     SERVICE,
     Code,
     Deframer,
@@ -31,6 +32,7 @@
 from ...routing.types import RPC, AttemptProgress, AttemptResult
 from ...transport.budget import DescriptorBudget
 from ...transport.connection import Connection, ConnectionLost, Dial, dial
+from ...transport.ledger import AccountBudget, Holding
 from ...transport.pool import ConnectionPool
 from .. import server_client
 from ..loads import LOAD_REPORT_HEADER, parse_load
@@ -59,6 +61,7 @@
         self.connection = connection
         self.number = number
         self.is_unary = is_unary
+        self.holding = Holding(connection.events)
         self.deframer = Deframer(MAX_ANSWER_MESSAGE_BYTES)
         self.headers: dict[str, str] = {}
         self.trailers: Headers = []
@@ -97,6 +100,7 @@
                 self.receive_trailers(event.headers or [])
             case h2.events.DataReceived():
                 self.deframer.feed(event.data or b"")
+                self.holding.hold(len(event.data or b""))
                 self._received_at = trio.current_time()
                 self.connection.wire.acknowledge(self.number, event.flow_controlled_length or 0)
             case h2.events.StreamEnded():
@@ -140,15 +144,24 @@
                 await wire.flush()
                 await self.step()
 
+    def must_forward_part(self) -> bool:
+        """Return whether memory is too short to wait for the end of the message."""
+        return len(self.deframer) >= server_client.MIN_PART_BYTES and self.holding.account.is_full
+
     async def next_message(self) -> bytes | None:
-        """Return the next message of the answer; None at its end. May be cancelled and called again.
+        """Return the next message of the answer with its prefix, or a part of it if memory is short.
+
+        None at the end of the answer. May be cancelled and called again.
 
         Once part of a message has arrived, the rest must follow within a limit.
         """
         while True:
-            message = self.deframer.next()
+            is_continued = self.deframer.has_begun
+            message = self.deframer.next_framed()
+            if message is None and self.must_forward_part():
+                message = self.deframer.take_part()
             if message is not None:
-                self.messages += 1
+                self.messages += not is_continued
                 return message
             if self.ended:
                 if self.deframer.partial:
@@ -173,7 +186,9 @@
 class ServerConnection:
     """A connection to a server, with its HTTP/2 state."""
 
-    def __init__(self, connection: Connection) -> None:
+    def __init__(self, events: AccountBudget, connection: Connection) -> None:
+        """`events` is the account of answers that are on their way to clients."""
+        self.events = events
         self.connection = connection
         self.wire = H2Wire(connection, client_side=True, max_streams=0)
         self.goaway_received = False
@@ -218,11 +233,11 @@
         budget: DescriptorBudget,
         connect_timeout_s: float,
         conn_idle_s: float,
+        events: AccountBudget,
         dial: Dial = dial,
     ) -> None:
-        super().__init__(
-            ConnectionPool(address, ServerConnection, budget, connect_timeout_s, conn_idle_s, dial)
-        )
+        wrap = partial(ServerConnection, events)
+        super().__init__(ConnectionPool(address, wrap, budget, connect_timeout_s, conn_idle_s, dial))
         self._address = address
 
     async def send(self, connection: ServerConnection, rpc: RPC, progress: AttemptProgress) -> Exchange:
@@ -236,12 +251,19 @@
         return exchange
 
     async def answer(self, exchange: Exchange, progress: AttemptProgress) -> AttemptResult:
+        try:
+            return await self._forward_answer(exchange, progress)
+        finally:
+            exchange.holding.release_all()
+
+    async def _forward_answer(self, exchange: Exchange, progress: AttemptProgress) -> AttemptResult:
         message = await self._next_message(exchange)
         has_started = message is not None
         while message is not None:
             if exchange.is_unary and exchange.messages > 1:
                 raise ServerProtocolError("a unary answer with two messages")
-            await progress.forward_event(message)
+            await progress.forward_events(message)
+            exchange.holding.release(len(message))
             message = await self.read_within_event_gap(
                 progress, partial(self._next_message, exchange), exchange.partial_received_at
             )
@@ -278,11 +300,14 @@
             exchange = connection.open_exchange(
                 "ServerReady", self._address, server_client.PROBE_TIMEOUT_S, []
             )
-            await exchange.send(frame(b""))
-            message = await exchange.next_message()
-            while await exchange.next_message() is not None:
-                pass
+            try:
+                await exchange.send(frame(b""))
+                message = await exchange.next_message()
+                while await exchange.next_message() is not None:
+                    pass
+            finally:
+                exchange.holding.release_all()
             if exchange.status()[0] == Code.OK:
                 exchange.check_complete()
-            ready = pb.ServerReadyResponse.FromString(message or b"").ready
+            ready = pb.ServerReadyResponse.FromString((message or b"")[PREFIX.size :]).ready
         return AttemptResult(Status.OK if ready else Status.FULL, exchange.load())
--- a/sorreldock/protocol/kserve/connection.py
+++ b/sorreldock/protocol/kserve/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from contextlib import suppress
+from functools import partial
 from typing import TYPE_CHECKING
 
 import h2.errors
@@ -14,6 +15,8 @@
 from ...kserve.framing import Code, GoAway, trailers
 from ...transport.admission import Stage
 from ...transport.connection import Connection, ConnectionLost
+from ...transport.ledger import Account, Holding
+from ...transport.turns import Share
 from .. import front as limits
 from .call import RESPONSE_HEADERS, ClientStream
 from .grpc import FrontWire
@@ -22,6 +25,7 @@
     from .front import KserveFront
 
 MAX_STREAMS = 64  # concurrently on a connection
+STREAM_BYTES = 12 * 1024  # of memory that a stream takes without its messages
 PING_TIMEOUT_S = 10.0  # to wait for the reply to a keepalive ping
 IDLE_TIMEOUT_S = 60.0
 
@@ -31,7 +35,8 @@
 
     def __init__(self, front: KserveFront, connection: Connection) -> None:
         self.front = front
-        self.wire = FrontWire(connection, MAX_STREAMS)
+        self.share = Share()
+        self.wire = FrontWire(connection, MAX_STREAMS, partial(front.turns.wait, self.share))
         self.streams: dict[int, ClientStream] = {}
         self.scope = trio.CancelScope()
         self.reading = trio.CancelScope()
@@ -68,7 +73,7 @@
 
     @property
     def readable(self) -> bool:
-        return self.wire.connection.readable
+        return self.wire.readable
 
     def evict(self) -> None:
         self.close_if_idle()
@@ -79,6 +84,7 @@
         self.streams.pop(stream.number, None)
         self.front.partial_requests.remove(stream)
         stream.release_payload()
+        stream.holding.release_all()
         # Unread data must not reduce the connection's flow-control window for other streams.
         if stream.unacknowledged_bytes:
             self.wire.acknowledge(stream.number, stream.unacknowledged_bytes)
@@ -151,7 +157,11 @@
                     self.answer_too_many_fields(event.stream_id)
                     return
                 headers = [(str(k), str(v)) for k, v in event.headers]
-                stream = self.streams[event.stream_id] = ClientStream(self, event.stream_id, headers)
+                holding = Holding(self.front.ledger[Account.STREAMS])
+                if not holding.acquire(STREAM_BYTES + sum(len(k) + len(v) for k, v in headers)):
+                    self.refuse_stream(event.stream_id)
+                    return
+                stream = self.streams[event.stream_id] = ClientStream(self, event.stream_id, headers, holding)
                 self.front.queue.remove(self)
                 nursery.start_soon(stream.run)
                 if not self.front.accepting:  # it arrived while draining: serve this RPC only
--- a/sorreldock/protocol/kserve/front.py
+++ b/sorreldock/protocol/kserve/front.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import suppress
 
+import trio
 from google.protobuf.message import Message
+from h2.errors import ErrorCodes
+from hyperframe.frame import GoAwayFrame, SettingsFrame
 
 from ...kserve import kserve_pb2 as pb
 from ...kserve.framing import Code, GrpcError
 from ...routing.types import Log, RPCDispatcher
-from ...transport.budget import DescriptorBudget
 from ...transport.connection import Connection, ConnectionLost
-from ...transport.ledger import MemoryLedger
-from ..front import Front
+from .. import front as limits
+from ..front import Front, Resources
 from .call import parse
 from .connection import ClientConnection
 from .metadata import FrontSettings
@@ -23,17 +26,18 @@
 class KserveFront(Front[ClientConnection]):
     """The front for KServe v2 over gRPC."""
 
+    connection_bytes = 64 * 1024  # most of it for the states of HTTP/2 and HPACK
+
     def __init__(
         self,
         settings: FrontSettings,
         version: str,
         core: RPCDispatcher,
         is_ready: Callable[[], bool],
-        budget: DescriptorBudget,
-        ledger: MemoryLedger,
+        resources: Resources,
         log: Log,
     ) -> None:
-        super().__init__(core, is_ready, budget, ledger, log)
+        super().__init__(core, is_ready, resources, log)
         self.settings = settings
         self.version = version
         self.accepting = True
@@ -65,6 +69,12 @@
             case _:
                 raise GrpcError(Code.UNIMPLEMENTED, f"{method[:100]} is not served here")
 
+    async def refuse_connection(self, connection: Connection) -> None:
+        goaway = GoAwayFrame(0, last_stream_id=0, error_code=ErrorCodes.ENHANCE_YOUR_CALM)
+        with suppress(ConnectionLost), trio.move_on_after(limits.STALL_TIMEOUT_S):
+            await connection.send(SettingsFrame(0).serialize() + goaway.serialize())
+            await connection.lingering_close(limits.STALL_TIMEOUT_S, limits.LINGERING_CLOSE_QUIET_S)
+
     async def announce_close(self) -> None:
         self._send_goaways()
 
--- a/sorreldock/protocol/kserve/grpc.py
+++ b/sorreldock/protocol/kserve/grpc.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
+
 import h2.config
 import h2.connection
 import h2.events
@@ -60,7 +62,7 @@
 
     async def receive(self) -> list[h2.events.Event | GoAway] | None:
         """Read once and return the events that arrived; None at the peer's end of stream."""
-        data = await self.connection.receive()
+        data = await self._next_input()
         if not data:
             return None
         rest, goaways = self._goaway_filter.strip(data)
@@ -72,6 +74,10 @@
                 self.window_changed = trio.Event()
         return events + goaways
 
+    async def _next_input(self) -> bytes:
+        """Return received bytes; empty at the peer's end of stream."""
+        return await self.connection.receive()
+
     async def flush(self) -> None:
         """Write the pending output. Must be called from one task only; `FrontWire` supports several."""
         data = self.take_output()
@@ -104,16 +110,52 @@
     would break the connection for all the other streams.
     """
 
-    MAX_PENDING_BYTES = 64 * 1024
+    MAX_PENDING_BYTES = 32 * 1024
     MAX_CONTROL_BYTES = 64 * 1024  # replies to a client's SETTINGS and PING frames that it may leave unread
 
-    def __init__(self, connection: Connection, max_streams: int) -> None:
+    MIN_SLICE_BYTES, MAX_SLICE_BYTES = 512, 16 * 1024  # of input that is handled in one turn
+    MAX_SLICE_EVENTS = 8  # more in a slice make the next one shorter
+
+    def __init__(
+        self, connection: Connection, max_streams: int, wait_turn: Callable[[], Awaitable[None]]
+    ) -> None:
         super().__init__(connection, client_side=False, max_streams=max_streams)
+        connection.before_read = wait_turn
+        self._wait_turn = wait_turn
+        self._input = b""  # received, but not handled yet
+        self._slice_bytes = self.MIN_SLICE_BYTES
         self._pending = b""
         self._control_bytes = 0  # output of `queue_output` since the last write ended
         self._sending = False
         self._wake = trio.Event()
-        self._sent = trio.Event()
+        self._progress = trio.Event()
+
+    @property
+    def readable(self) -> bool:
+        """Whether input has arrived that has not been handled."""
+        return bool(self._input) or self.connection.readable
+
+    async def receive(self) -> list[h2.events.Event | GoAway] | None:
+        """Handle a slice of the input and return its events; None at the peer's end of stream.
+
+        A read may hold a thousand small frames, which would keep all other connections waiting.
+        """
+        events = await super().receive()
+        if events is not None:
+            is_short = len(events) <= self.MAX_SLICE_EVENTS
+            size = self._slice_bytes * 2 if is_short else self._slice_bytes // 2
+            self._slice_bytes = min(max(size, self.MIN_SLICE_BYTES), self.MAX_SLICE_BYTES)
+        return events
+
+    async def _next_input(self) -> bytes:
+        if self._input:
+            await self._wait_turn()
+        else:
+            self._input = await self.connection.receive()
+        if self.connection.closed_by_peer:  # what it sent before has nobody left to answer
+            self._input = b""
+        part, self._input = self._input[: self._slice_bytes], self._input[self._slice_bytes :]
+        return part
 
     @property
     def has_unsent(self) -> bool:
@@ -137,8 +179,12 @@
         """Queue the pending output for sending, and wait while too much of it is unsent."""
         self._pending += self.take_output()
         self._wake.set()
+        await self.wait_for_room()
+
+    async def wait_for_room(self) -> None:
+        """Wait while too much output is unsent, so that many streams together don't add to it."""
         while len(self._pending) > self.MAX_PENDING_BYTES:
-            await self._sent.wait()
+            await self._progress.wait()
 
     async def run_writer(self) -> None:
         """Send the queued output for as long as the connection lasts."""
@@ -148,16 +194,21 @@
                 await self._wake.wait()
             data, self._pending = self._pending, b""
             self._sending = True
+            self._notify()  # there is room again
             with trio.move_on_after(limits.WRITE_TIMEOUT_S) as scope:
                 await self.connection.send(data)
             if scope.cancelled_caught:
                 raise ConnectionLost("the client reads nothing")
             self._sending = False
             self._control_bytes = 0
-            self._sent.set()
-            self._sent = trio.Event()
+            self._notify()
+
+    def _notify(self) -> None:
+        """Wake the tasks that wait for room or for the end of a write."""
+        self._progress.set()
+        self._progress = trio.Event()
 
     async def wait_written(self) -> None:
         """Wait until all queued output has been written."""
         while self.has_unsent:
-            await self._sent.wait()
+            await self._progress.wait()
--- a/sorreldock/protocol/server_client.py
+++ b/sorreldock/protocol/server_client.py
@@ -29,6 +29,8 @@
 # a part of it, up to this time for the whole event.
 EVENT_TIMEOUT_S = 30.0
 MAX_EVENT_BYTES = 128 * 1024
+# When the ledger is full, what has been received of a longer event is forwarded before the event is whole.
+MIN_PART_BYTES = 16 * 1024
 
 
 class RequestNotProcessed(ConnectionLost):
--- a/sorreldock/routing/core.py
+++ b/sorreldock/routing/core.py
@@ -234,7 +234,7 @@
         self.audit.check_written(
             attempt.rpc.key,
             trio.current_time(),
-            answered=entry.answered,
+            began_answered=entry.answered_at < attempt.sending_at,
             in_flight=entry.in_flight,
             expires_at=attempt.rpc.expires_at,
             drained_at=attempt.subchannel.drained_at,
@@ -513,7 +513,7 @@
             expires_at=entry.rpc.expires_at,
             outcome=final.outcome,
         )
-        entry.answered = True
+        entry.answered, entry.answered_at = True, trio.current_time()
         entry.rpc.payload = None
         if entry.deadline is not None:
             self._timers.cancel(entry.deadline)
--- a/sorreldock/routing/open_rpc.py
+++ b/sorreldock/routing/open_rpc.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import trio
 
 from ..interface import Status
@@ -18,6 +20,7 @@
 
     __slots__ = (
         "answered",
+        "answered_at",
         "arrived_at",
         "attempts",
         "deadline",
@@ -36,6 +39,7 @@
         # The creation time of the first ended attempt that a server may have run.
         self.first_run_at: float | None = None
         self.answered = False
+        self.answered_at = math.inf
         self.deadline: Timer[str | OpenRPC] | None = None  # cancelled once the answer has begun
 
     @property
--- a/sorreldock/routing/permissions.py
+++ b/sorreldock/routing/permissions.py
@@ -110,14 +110,18 @@
         rpc: str,
         now: float,
         *,
-        answered: bool,
+        began_answered: bool,
         in_flight: int,
         expires_at: float,
         drained_at: float | None,
     ) -> None:
-        """Check the rules for an attempt whose last byte was written at `now`."""
+        """Check the rules for an attempt whose last byte was written at `now`.
+
+        `began_answered` tells whether its RPC was answered before the first byte. A client may leave while
+        the attempt is being written.
+        """
         self.check(in_flight <= 1, Rule.TWO_OUT, rpc, out=in_flight)
-        self.check(not answered, Rule.SENT_ANSWERED, rpc)
+        self.check(not began_answered, Rule.SENT_ANSWERED, rpc)
         self.check(now <= expires_at + WRITE_TOLERANCE_S, Rule.SENT_EXPIRED, rpc, late_s=now - expires_at)
         drained_s = 0.0 if drained_at is None else now - drained_at
         self.check(drained_s <= MAX_DRAIN_GRACE_S, Rule.SENT_DRAINED, rpc, after_s=drained_s)
--- a/sorreldock/routing/subchannel.py
+++ b/sorreldock/routing/subchannel.py
@@ -33,6 +33,7 @@
         self.created_at = trio.current_time()
         self.scope = trio.CancelScope(deadline=self.created_at + timeout_s)
         self.sending = False
+        self.sending_at = math.inf  # when its first byte was about to be written
         self.written = False
         self.started = False
         self.first_event_s = 0.0
@@ -57,7 +58,7 @@
             send_by=self._send_by,
             client_present=lambda: self._is_client_present(self.rpc),
         )
-        self.sending = self.denial is None
+        self.sending, self.sending_at = self.denial is None, now
         return self.sending
 
     def mark_written(self) -> None:
@@ -71,7 +72,7 @@
     def is_server_removed(self) -> bool:
         return self.subchannel.is_retired
 
-    async def forward_event(self, data: bytes) -> None:
+    async def forward_events(self, *events: bytes) -> None:
         if not self.started:
             # Too late if the core has given the final answer already, or the deadline expired in the same
             # step in which this event arrived: the client's answer would begin and be cut off by that
@@ -81,7 +82,7 @@
             self.started = True
             self.scope.deadline = math.inf  # once an answer has begun, it has no deadline
             self._on_first_event(self)
-        await self.rpc.sink.send_event(data)
+        await self.rpc.sink.send_events(*events)
 
     def abort(self, status: Status) -> None:
         """Cancel the attempt, with the status to report unless it has been aborted before."""
--- a/sorreldock/routing/types.py
+++ b/sorreldock/routing/types.py
@@ -47,10 +47,11 @@
 class EventSink(Protocol):
     """The receiver of an RPC's answer, implemented by the fronts; `finish` is called exactly once."""
 
-    async def send_event(self, data: bytes) -> None:
-        """Send a piece of the answer to the client, waiting while it reads slowly.
+    async def send_events(self, *events: bytes) -> None:
+        """Send events of the answer to the client, waiting while it reads slowly.
 
-        Raises SinkClosed when the client has disconnected.
+        When memory is short, an event may come in several parts. Raises SinkClosed when the client has
+        disconnected.
         """
 
     def finish(self, final: FinalAnswer) -> None:
@@ -142,8 +143,8 @@
     def is_server_removed(self) -> bool:
         """Return whether discovery no longer lists the server."""
 
-    async def forward_event(self, data: bytes) -> None:
-        """Forward whole events of the answer; raise SinkClosed if the client can't receive them."""
+    async def forward_events(self, *events: bytes) -> None:
+        """Forward events of the answer or parts of one; raise SinkClosed if the client can't receive them."""
 
 
 class ServerClient(Protocol):
--- a/sorreldock/transport/connection.py
+++ b/sorreldock/transport/connection.py
@@ -24,6 +24,7 @@
 # The part of tcp_info (include/uapi/linux/tcp.h) up to tcpi_last_data_recv, in ms.
 TCP_INFO_TO_LAST_DATA = struct.Struct("=52xI")
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # struct linger: on, for 0 s
+TCP_NOTSENT_LOWAT = 25  # of include/uapi/linux/tcp.h; not in the socket module
 DISCARD_BUFFER = bytearray(65536)  # shared by all connections, for received data that is discarded
 
 
@@ -58,6 +59,7 @@
         "_reading",
         "_sock",
         "_wait_readable",
+        "before_read",
         "received_at",
     )
 
@@ -71,6 +73,7 @@
         self._wait_readable = wait_readable
         self._on_close = on_close
         self._closed = self._reading = False
+        self.before_read: Callable[[], Awaitable[None]] | None = None  # awaited when bytes have arrived
         self.received_at = trio.current_time()  # when bytes were last read, at first of its opening
         self._incoming = RingBuffer(RING_BYTES)
         self._outgoing = RingBuffer(RING_BYTES)
@@ -87,6 +90,8 @@
             if not self._incoming and not self._sock.is_readable():
                 self._incoming.free_memory()
                 await self._wait_readable(self._sock)
+            if self.before_read is not None:
+                await self.before_read()
             self._reading = True  # bytes leave the kernel a scheduler pass before they are counted below
             count: int = await retry_transient(lambda: self._sock.recv_into(self._incoming.writable_span()))
         except (OSError, trio.ClosedResourceError) as error:
@@ -220,6 +225,14 @@
         with suppress(OSError):
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
 
+    def limit_unsent(self, size: int) -> None:
+        """Let the kernel hold little more than `size` bytes that it has not sent yet.
+
+        A slow reader then slows its server down, instead of taking work and memory for its whole answer.
+        """
+        with suppress(OSError):
+            self._sock.setsockopt(socket.IPPROTO_TCP, TCP_NOTSENT_LOWAT, size)
+
     def last_arrival_age_s(self) -> float:
         """Return how long ago the kernel received the last bytes; 0 if that can't be queried.
 
--- a/sorreldock/transport/ledger.py
+++ b/sorreldock/transport/ledger.py
@@ -36,6 +36,11 @@
         self.max_used = 0
         self.used = 0
 
+    @property
+    def is_full(self) -> bool:
+        """Whether a limit is reached or exceeded."""
+        return self.used >= self.max_used or self._ledger.used >= self._ledger.max_used
+
     def acquire(self, count: int, spared_share: float = 0.0) -> bool:
         """Take `count` bytes; return False if they would exceed a limit.
 
@@ -59,6 +64,38 @@
         self._ledger.used -= count
 
 
+class Holding:
+    """What one holder has taken from an account, so that it can give back all at its end."""
+
+    __slots__ = ("account", "bytes")
+
+    def __init__(self, account: AccountBudget) -> None:
+        self.account = account
+        self.bytes = 0
+
+    def acquire(self, count: int) -> bool:
+        """Take `count` bytes; return False if they would exceed a limit."""
+        if not self.account.acquire(count):
+            return False
+        self.bytes += count
+        return True
+
+    def hold(self, count: int) -> None:
+        """Take `count` bytes that are held already."""
+        self.bytes += count
+        self.account.hold(count)
+
+    def release(self, count: int) -> None:
+        """Give back up to `count` bytes."""
+        count = min(count, self.bytes)
+        self.bytes -= count
+        self.account.release(count)
+
+    def release_all(self) -> None:
+        """Give back everything."""
+        self.release(self.bytes)
+
+
 class MemoryLedger:
     """The sum of all accounts and its limit, in bytes."""
 
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -2,16 +2,25 @@
 
 from __future__ import annotations
 
+import socket
+
+import h11
 import pytest
 import trio
-from grpc_peers import BOTH_PROTOCOLS, DualProtocolServer, grpc_client
+from grpc_peers import BOTH_PROTOCOLS, DualProtocolServer, Stream, grpc_client, stream_response
 from grpc_peers import request as grpc_request
-from peers import ScriptedServer, running_router, trio_test
+from h2.errors import ErrorCodes
+from hypothesis import given
+from hypothesis import strategies as st
+from peers import EVENTS, ReceivedRequest, ScriptedServer, running_router, trio_test
 from test_bad_days import all_of, raw
 
 from sorreldock.kserve.framing import Code
 from sorreldock.protocol import front as limits
 from sorreldock.routing.timers import Timers
+from sorreldock.transport.blocks import BLOCK_BYTES, BlockBuffer
+from sorreldock.transport.ledger import Account, Holding, MemoryLedger
+from sorreldock.transport.turns import TURNS_PER_PASS, Share, Turns
 
 
 @trio_test
@@ -70,3 +79,146 @@
         refused = await client.start("ModelInfer", end_stream=False, **fields)
         assert (await refused.answer())[0] == Code.RESOURCE_EXHAUSTED
         assert (await client.call("ModelInfer", grpc_request()))[0] == Code.OK
+
+
+BUSY = 4 * TURNS_PER_PASS  # connections that wait for a turn
+
+
+@trio_test
+async def test_a_connection_with_few_turns_goes_before_one_with_many() -> None:
+    turns, order = Turns(), []
+
+    async def work(name: str, share: Share, pieces: int) -> None:
+        for _ in range(pieces):
+            await turns.wait(share)
+            order.append(name)
+
+    async with trio.open_nursery() as nursery:
+        for number in range(BUSY):
+            nursery.start_soon(work, f"busy{number}", Share(), 100)
+        while len(order) < 50 * BUSY:
+            await trio.lowlevel.checkpoint()
+        began = len(order)
+        nursery.start_soon(work, "new", Share(), 1)
+    assert order.index("new") < began + 2 * BUSY  # two rounds, of which one is its start
+    counts = [order[:began].count(f"busy{number}") for number in range(BUSY)]
+    assert max(counts) - min(counts) <= TURNS_PER_PASS
+
+
+@trio_test
+async def test_a_pass_of_the_event_loop_has_few_turns_and_cancelled_waits_take_none() -> None:
+    turns, granted, passes = Turns(), [], 0
+
+    async def work(share: Share) -> None:
+        await turns.wait(share)
+        granted.append(passes)
+
+    async with trio.open_nursery() as nursery:
+        with trio.CancelScope() as scope:
+            async with trio.open_nursery() as cancelled:
+                for _ in range(50):
+                    cancelled.start_soon(work, Share())
+                scope.cancel()
+        granted.clear()
+        for _ in range(50):
+            nursery.start_soon(work, Share())
+        while len(granted) < 50:
+            await trio.lowlevel.checkpoint()
+            passes += 1
+    assert max(granted.count(number) for number in range(passes)) <= 2 * TURNS_PER_PASS
+
+
+def test_accounts_are_limited_alone_and_together() -> None:
+    ledger = MemoryLedger(1000)
+    payloads, events = ledger[Account.PAYLOADS], ledger[Account.EVENTS]
+    assert payloads.acquire(600) and not payloads.acquire(100)  # two thirds
+    assert events.acquire(400) and events.is_full and not ledger[Account.STREAMS].acquire(1)
+    payloads.release(600)
+    assert not payloads.acquire(600, spared_share=0.125) and payloads.acquire(450, spared_share=0.125)
+    holding = Holding(ledger[Account.CONNECTIONS])
+    assert holding.acquire(50) and not holding.acquire(101)
+    holding.hold(200)  # what is there already counts, whatever the limits
+    assert ledger.used == 1100
+    holding.release_all()
+    holding.release_all()
+    payloads.release(450)
+    events.release(400)
+    assert ledger.used == 0 and set(ledger.figures().values()) == {0}
+
+
+@given(st.lists(st.binary(max_size=20_000), max_size=8), st.booleans())
+def test_blocks_hold_the_bytes_in_order_and_take_little_more(pieces: list[bytes], is_known: bool) -> None:
+    whole = b"".join(pieces)
+    reserved = []
+    blocks = BlockBuffer(len(whole) if is_known else 0)
+    assert all(blocks.add(piece, lambda count: not reserved.append(count)) for piece in pieces)
+    assert b"".join(blocks.parts()) == whole and len(blocks) == len(whole)
+    assert sum(reserved) - len(whole) < (1 if is_known else BLOCK_BYTES)
+    assert blocks.add(b"x" * 2 * BLOCK_BYTES, lambda count: False) is False
+    blocks.clear()
+    assert len(blocks) == 0 and blocks.parts() == []
+
+
+LARGE_EVENT = b'data: {"text":"' + b"x" * 100_000 + b'"}\n\n'
+
+
+@trio_test
+async def test_without_memory_for_it_a_large_event_is_forwarded_in_parts_unchanged() -> None:
+    async def answer_large(received: ReceivedRequest) -> None:
+        await received.start(LARGE_EVENT[:50_000])
+        await received.send_events(LARGE_EVENT[50_000:], *EVENTS)
+        await received.end()
+
+    async with running_router(ScriptedServer(answer_large)) as router:
+        router.program.ledger[Account.EVENTS].max_used = 20_000
+        wire = await router.start_post()
+        await wire.next()
+        parts = []
+        while isinstance(event := await wire.next(), h11.Data):
+            parts.append(bytes(event.data))
+        assert isinstance(event, h11.EndOfMessage) and b"".join(parts) == LARGE_EVENT + b"".join(EVENTS)
+        assert max(map(len, parts)) < 60_000 and router.program.ledger[Account.EVENTS].used == 0
+
+
+@trio_test
+async def test_without_memory_for_it_a_large_message_is_forwarded_in_parts_unchanged() -> None:
+    large = b"\x0a\x00" * 60_000  # any bytes
+
+    async def answer_large(stream: Stream) -> None:
+        await stream.start()
+        await stream.send(large, stream_response(1))
+        await stream.finish(0)
+
+    server = DualProtocolServer(answer_large)
+    async with running_router(server, operator=BOTH_PROTOCOLS) as router, grpc_client(router) as client:
+        router.program.ledger[Account.EVENTS].max_used = 20_000
+        assert await client.call("ModelStreamInfer", grpc_request()) == (0, [large, stream_response(1)])
+        assert router.program.ledger[Account.EVENTS].used == 0
+
+
+@pytest.mark.parametrize("account", [Account.STREAMS, Account.CONNECTIONS])
+@trio_test
+async def test_a_grpc_request_without_memory_is_refused_unprocessed(account: Account) -> None:
+    server = DualProtocolServer()
+    async with running_router(server, operator=BOTH_PROTOCOLS) as router:
+        router.program.ledger[account].max_used = 100
+        async with grpc_client(router) as client:
+            stream = await client.start("ModelInfer", grpc_request())
+            await stream.answer()
+            is_refused = stream.reset == ErrorCodes.REFUSED_STREAM or client.endpoint.goaway_received
+            assert is_refused and server.grpc_streams == []
+        assert router.program.ledger[Account.STREAMS].used == 0
+        router.program.ledger.resize(1 << 24)
+        async with grpc_client(router) as client:
+            assert (await client.call("ModelInfer", grpc_request()))[0] == Code.OK
+
+
+@trio_test
+async def test_requests_of_a_client_that_has_left_are_not_begun() -> None:
+    server = ScriptedServer()
+    async with running_router(server) as router:
+        host, port = router.address.rsplit(":", 1)
+        with socket.create_connection((host, int(port))) as client:
+            client.sendall(b"".join(raw(x_trace_id=b"t%d" % number) for number in range(20)))
+        await trio.sleep(0.3)  # closed before the router accepts the connection
+    assert len(server.received_requests) <= 1
