Reset an attempt that is given up before its server has received the request

Cause: the kernel takes 250 kB of a request at once, so it counted as written while the server read slowly; a close then sends what the kernel holds. Class of bug: one side's framing (all bytes handed to the kernel) is taken for a proof about the other side. Change: the kernel takes 16 KiB beyond what is on its way, and an attempt that is given up while bytes are unacknowledged ends with a reset, which discards them.

--- a/sorreldock/transport/pool.py
+++ b/sorreldock/transport/pool.py
@@ -10,6 +10,8 @@
 from .budget import DescriptorBudget, Use
 from .connection import Connection, Dial, LocalShortage, dial
 
+MAX_UNSENT_BYTES = 16 * 1024  # of a request in the kernel, so that writing follows what the server reads
+
 
 class PooledConnection(Protocol):
     """A connection with its parser, as the pool uses it."""
@@ -69,7 +71,9 @@
         if not self._budget.acquire(Use.SERVER):
             raise LocalShortage("no descriptor available")
         on_close = lambda: self._budget.release(Use.SERVER)  # noqa: E731
-        return self._wrap(await self._dial(self.address, self._connect_timeout_s, on_close))
+        connection = await self._dial(self.address, self._connect_timeout_s, on_close)
+        connection.limit_unsent(MAX_UNSENT_BYTES)
+        return self._wrap(connection)
 
     def _pop_idle(self) -> tuple[float, PooledT] | None:
         """Remove and return the connection released last among those idle for the minimum time."""
@@ -86,6 +90,8 @@
             self._idle.append((trio.current_time(), pooled))
             if len(self._idle) > self._max_idle:
                 self.evict()
+        elif pooled.connection.unacknowledged_bytes():
+            pooled.connection.abort()  # the rest of a request that was given up must not reach the server
         else:
             pooled.connection.close()
 
--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import socket
+
 import pytest
 import trio
 from grpc_peers import BOTH_PROTOCOLS, DualProtocolServer, Stream, frame_message, grpc_client, stream_response
 from grpc_peers import request as grpc_request
-from peers import EVENTS, ReceivedRequest, ScriptedServer, running_router, trio_test
+from peers import EVENTS, Peer, ReceivedRequest, ScriptedServer, running_router, trio_test
+from test_bad_days import raw
 
 from sorreldock.protocol import server_client
 
@@ -89,3 +92,52 @@
     server = DualProtocolServer(write_slowly)
     async with running_router(server, operator=BOTH_PROTOCOLS) as router, grpc_client(router) as client:
         assert await client.call("ModelStreamInfer", grpc_request()) == (0, [message, message])
+
+
+class SlowReader(Peer):
+    """A server that reads nothing before `reads` is set, then all that it gets."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.reads, self.ended = trio.Event(), trio.Event()
+        self.received = b""
+
+    async def serve_connection(self, stream: trio.SocketStream) -> None:
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        await self.reads.wait()
+        try:
+            while data := await stream.receive_some(65536):
+                self.received += bytes(data)
+        except trio.BrokenResourceError:
+            pass
+        self.ended.set()
+
+
+BODY = b"x" * 250_000
+
+
+@trio_test
+async def test_a_request_given_up_while_its_server_reads_slowly_never_reaches_it_whole() -> None:
+    server = SlowReader()
+    async with running_router(server) as router:
+        began_at = trio.current_time()
+        answer = await router.post(BODY, x_expires_in="600m")
+        took_s = trio.current_time() - began_at
+        assert answer.status in (502, 503, 504) and took_s < 0.6 + 0.5
+        server.reads.set()
+        await server.ended.wait()
+    assert 0 < len(server.received) < len(BODY)
+
+
+@trio_test
+async def test_a_request_whose_client_leaves_while_its_server_reads_slowly_never_reaches_it_whole() -> None:
+    server = SlowReader()
+    async with running_router(server) as router:
+        wire = await router.connect()
+        await wire.stream.send_all(raw(x_expires_in=b"4000m", body=BODY))
+        await trio.sleep(0.3)
+        await wire.stream.aclose()
+        await trio.sleep(0.2)
+        server.reads.set()
+        await server.ended.wait()
+    assert len(server.received) < len(BODY)
