Do not run an unsafe request again whose name comes again after its client left

Cause: the name of a request was free again as soon as its last attempt had ended, and the other process never knew it. Class of bug: state that ends with its connection though the server's does not. Such a name is answered with 409 (gRPC ALREADY_EXISTS). At an upgrade both processes tell each other.

--- a/sorreldock/program/handover.py
+++ b/sorreldock/program/handover.py
@@ -16,6 +16,7 @@
 
 VERSION = 1
 MAX_RECORD_BYTES = 1024 * 1024
+MAX_KEYS_PER_RECORD = 10_000
 LENGTH_PREFIX = struct.Struct("!I")
 LEAVING_PROCESS_DESCRIPTORS = 16  # that a leaving process may take for attempts of its open requests
 
@@ -88,6 +89,14 @@
         raise PeerProtocolError(f"{name} is not a map of counts") from None
 
 
+def keys_field(record: dict[str, Any], name: str) -> list[int]:
+    """Return a field that has to be a list of integers."""
+    value = record.get(name)
+    if not isinstance(value, list) or not all(type(key) is int for key in value):
+        raise PeerProtocolError(f"{name} is not a list of keys")
+    return value
+
+
 def descriptor_share(usable: int, used: int, leaving: bool, peer_used: int, peer_leaving: bool) -> int:
     """Return how many of the `usable` descriptors of both processes this process may use.
 
--- a/sorreldock/program/takeover.py
+++ b/sorreldock/program/takeover.py
@@ -55,6 +55,7 @@
         # Drain notices that aren't sent on this link yet, by uid. There is one per server, so the queue needs
         # no bound and no notice is dropped.
         self.pending_notices: dict[str, tuple[int, Target]] = {}
+        self.pending_runs: list[int] = []  # names that must not run again and aren't sent on this link yet
         self.wake = trio.Event()
 
     async def connect(self, path: str) -> None:
@@ -149,6 +150,13 @@
         # The maximum of descriptors once this process leaves; it never rises again.
         self._leaving_limit = 1 << 30
         self._front: Front[Any] | None = None
+        core.on_run = self._on_run
+
+    def _on_run(self, key: int) -> None:
+        """Queue a name for the peer processes, at which its client may come again."""
+        for link in self._links:
+            link.pending_runs.append(key)
+            link.wake.set()
 
     # As the successor.
 
@@ -183,6 +191,8 @@
         result = decode_result(state.get("list"), ListKind.CACHED)
         self._resolver.start_from(result.version)
         self._core.apply_resolver_result(result)
+        if isinstance(state.get("runs"), list):
+            self._core.add_runs(handover.keys_field(state, "runs"))
         learned = state.get("learned")
         if isinstance(learned, dict):
             self._core.restore(learned)
@@ -257,7 +267,12 @@
                 await link.send("fail", version=handover.VERSION, why=fault)
                 return
             listing = {**encode_result(self._core.known_servers()), "rev": self._resolver.version}
-            state: dict[str, Any] = {"version": handover.VERSION, "pid": self._pid, "list": listing}
+            state: dict[str, Any] = {
+                "version": handover.VERSION,
+                "pid": self._pid,
+                "list": listing,
+                "runs": self._core.runs(),
+            }
             self._successor = link
             if not await link.send("state", None, **state, learned=self._core.snapshot()):
                 # The record with the learned state was too long.
@@ -368,6 +383,8 @@
                 result = decode_result(record.get("list"), ListKind.DELTA)
                 self._notices.receive(result)
                 self._core.apply_resolver_result(result)
+            case "runs":
+                self._core.add_runs(handover.keys_field(record, "keys"))
             case "connection":
                 if adopt is None:  # only a predecessor passes connections on
                     os.close(descriptor)
@@ -381,6 +398,9 @@
                 sorted(link.pending_notices.values(), key=lambda notice: notice[0]),
                 {},
             )
+            runs, link.pending_runs = link.pending_runs, []
+            for start in range(0, len(runs), handover.MAX_KEYS_PER_RECORD):
+                await link.send("runs", keys=runs[start : start + handover.MAX_KEYS_PER_RECORD])
             for version, group in groupby(notices, key=lambda notice: notice[0]):
                 ends = ResolverResult(ListKind.DELTA, tuple(target for _, target in group), version)
                 await link.send("news", list=encode_result(ends))
--- a/sorreldock/protocol/http/connection.py
+++ b/sorreldock/protocol/http/connection.py
@@ -12,6 +12,7 @@
 from ...routing.types import (
     RPC,
     FinalAnswer,
+    MayHaveRun,
     NameTaken,
     Outcome,
     Overloaded,
@@ -473,6 +474,10 @@
             self.rpc_key = rpc.key
         except Overloaded:
             raise ImmediateAnswer(503, "too many open requests", ((b"retry-after", b"1"),)) from None
+        except MayHaveRun:
+            raise ImmediateAnswer(
+                409, "the request of this X-Trace-Id may have run and must not run again", (CLOSE,)
+            ) from None
         except NameTaken:
             raise ImmediateAnswer(409, "X-Trace-Id is that of an open request", (CLOSE,)) from None
         try:
--- a/sorreldock/protocol/kserve/call.py
+++ b/sorreldock/protocol/kserve/call.py
@@ -12,7 +12,7 @@
 
 from ...kserve import kserve_pb2 as pb
 from ...kserve.framing import SERVICE, Code, Deframer, GrpcError, Headers, frame, trailers
-from ...routing.types import RPC, FinalAnswer, NameTaken, Overloaded, SinkClosed
+from ...routing.types import RPC, FinalAnswer, MayHaveRun, NameTaken, Overloaded, SinkClosed
 from ...transport.connection import ConnectionLost
 from ...transport.ledger import Holding
 from .. import front as limits
@@ -253,6 +253,11 @@
             raise GrpcError(
                 Code.UNAVAILABLE, "too many open requests", [("grpc-retry-pushback-ms", "1000")]
             ) from None
+        except MayHaveRun:
+            raise GrpcError(
+                Code.ALREADY_EXISTS,
+                f"the request of this {OWN_PREFIX}request-id may have run and must not run again",
+            ) from None
         except NameTaken:
             raise GrpcError(
                 Code.ALREADY_EXISTS, f"{OWN_PREFIX}request-id is that of an open request"
--- a/sorreldock/routing/core.py
+++ b/sorreldock/routing/core.py
@@ -4,7 +4,7 @@
 
 import math
 import time
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Any
 
 import trio
@@ -40,6 +40,7 @@
 from .open_rpc import NEVER_RAN, OpenRPC
 from .pace import DecisionStats, retry_after_s, waits_too_long
 from .permissions import Audit, Rule, may_begin, write_until
+from .run_history import RunHistory, name_key
 from .server_table import ServerTable
 from .subchannel import Attempt, Start, StartProbe, Subchannel
 from .timers import Timers
@@ -49,6 +50,7 @@
     Cause,
     FinalAnswer,
     Log,
+    MayHaveRun,
     NameTaken,
     Outcome,
     Overloaded,
@@ -95,6 +97,8 @@
         self.max_open_rpcs = max_open_rpcs
         self._max_attempts = max_attempts  # that this process has descriptors for
         self._names: set[tuple[str, str]] = set()  # protocols and client-chosen names of the open RPCs
+        self._runs = RunHistory()
+        self.on_run: Callable[[int], None] = lambda key: None  # tells the peer processes of a takeover
         self._submitted = 0  # RPCs so far, for unique keys
         self._timers: Timers[str | OpenRPC] = Timers()  # the decision module's tokens, and deadlines
         # The decision module's clock is Unix time, like the servers' start times, but monotonic.
@@ -120,7 +124,8 @@
     def submit(self, rpc: RPC) -> None:
         """Accept an RPC, whose sink gets exactly one final answer.
 
-        Raises Overloaded when too many RPCs are open and NameTaken when an open one has the same name.
+        Raises Overloaded when too many RPCs are open, NameTaken when an open one has the same name, and
+        MayHaveRun when an earlier one had it that must not run twice.
         """
         # The memory is limited too, since each open RPC holds its payload.
         if len(self.open_rpcs) >= min(self.max_open_rpcs, self._max_attempts()):
@@ -129,6 +134,10 @@
             # A server identifies requests by these names and would confuse the two.
             if (rpc.protocol, rpc.name) in self._names:
                 raise NameTaken
+            if self._is_remembered(rpc) and self._runs.contains(
+                name_key(rpc.protocol, rpc.name), trio.current_time()
+            ):
+                raise MayHaveRun
             self._names.add((rpc.protocol, rpc.name))
         self._submitted += 1
         # The decision module joins this key with colons into timer tokens, and names may repeat over time.
@@ -152,6 +161,10 @@
             )
         )
 
+    def _is_remembered(self, rpc: RPC) -> bool:
+        """Return whether a request of this name must not run again."""
+        return rpc.named_by_client and self.classes[rpc.rpc_class].effect is not Effect.SAFE
+
     def cancel_rpc(self, rpc: RPC, reason: str = "") -> None:
         """Cancel the RPC of a client that has disconnected; does nothing once the RPC is answered."""
         entry = self.open_rpcs.get(rpc.key)
@@ -207,6 +220,15 @@
         """Return the number of attempts in flight, by replica number."""
         return {number: s.in_flight for number, s in self.subchannels.items() if s.in_flight}
 
+    def runs(self) -> list[int]:
+        """Return the keys of the names that must not run again, the oldest first."""
+        return self._runs.keys()
+
+    def add_runs(self, keys: Iterable[int]) -> None:
+        """Add names that a peer process has sent to servers."""
+        for key in keys:
+            self._runs.add(key, trio.current_time())
+
     def snapshot(self) -> dict[str, Any]:
         """Return what the decision module has learned, for `restore` in a successor."""
         return self._gateway.snapshot()
@@ -231,6 +253,10 @@
 
     def _on_attempt_written(self, attempt: Attempt) -> None:
         entry = self.open_rpcs[attempt.rpc.key]
+        if self._is_remembered(attempt.rpc):
+            key = name_key(attempt.rpc.protocol, attempt.rpc.name)
+            self._runs.add(key, trio.current_time())
+            self.on_run(key)
         self.audit.check_written(
             attempt.rpc.key,
             trio.current_time(),
@@ -536,5 +562,7 @@
         if entry.answered and not entry.in_flight:
             if self.open_rpcs.pop(entry.rpc.key, None) is not None and entry.rpc.named_by_client:
                 self._names.discard((entry.rpc.protocol, entry.rpc.name))
+                if not entry.may_have_run():
+                    self._runs.discard(name_key(entry.rpc.protocol, entry.rpc.name))
             if not self.open_rpcs:
                 self._idle.set()
--- a/sorreldock/routing/types.py
+++ b/sorreldock/routing/types.py
@@ -95,6 +95,10 @@
     """Raised when another open RPC of the same protocol has this name."""
 
 
+class MayHaveRun(NameTaken):
+    """Raised when a server may have run a request of this name, whose class must not run twice."""
+
+
 class RPCDispatcher(Protocol):
     """The part of the core that the fronts use."""
 
@@ -107,7 +111,8 @@
     def submit(self, rpc: RPC) -> None:
         """Accept an RPC, whose sink gets exactly one final answer.
 
-        Raises Overloaded when too many RPCs are open and NameTaken when an open one has the same name.
+        Raises Overloaded when too many RPCs are open, NameTaken when an open one has the same name, and
+        MayHaveRun when an earlier one had it that must not run twice.
         """
 
     def cancel_rpc(self, rpc: RPC, reason: str = "") -> None:
