--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import signal
 import socket
@@ -143,6 +144,35 @@
         assert not (tmp_path / SOCKET_NAME).exists()
 
 
+def make_classes_unsafe(environment: dict[str, str]) -> None:
+    path = Path(environment["RELAY_CONFIG"])
+    config = json.loads(path.read_text())
+    for category in config["settings"]["categories"]:
+        category["effect"] = "unsafe"
+    path.write_text(json.dumps(config))
+
+
+@trio_test
+async def test_no_unsafe_request_runs_twice_when_its_id_comes_again_at_the_other_process(
+    tmp_path: Path,
+) -> None:
+    names = [f"t{number}" for number in range(12)]  # either process may accept each connection
+    async with running_platform(tmp_path) as platform:
+        make_classes_unsafe(platform.environment)
+        await platform.start()
+        await assert_served(await platform.connect(), "before")
+        await platform.start()
+        for name in names:
+            await assert_served(await platform.connect(), name)
+        await trio.sleep(0.3)
+        for name in ["before", *names, *names]:
+            wire = await platform.connect()
+            await wire.send(*post_events(name))
+            assert (await read_answer(wire)).status == 409
+        received = [r.headers["x-trace-id"] for r in platform.server.received_requests]
+        assert received == ["before", *names]
+
+
 # Guards against an upgrade that ends the new process, since the old one listens on the KServe port.
 @trio_test
 async def test_both_processes_of_a_takeover_serve_the_kserve_front(tmp_path: Path) -> None:
