Use no connection of an earlier process, and know another discovery by its versions

Cause: a connection that was in use when its server started anew went back to the pool after its answer and carried the next request to the earlier process. A discovery process that counts from lower versions had all its changes left out as outdated. Class of bug: an address is taken for the identity of a peer. Change: a pool keeps only connections opened since the last change of the process; a dial that such a change overtakes is repeated. A second outdated change that counts on from the first means another numbering: the watch is opened anew for the whole list.

--- a/sorreldock/protocol/http/discovery.py
+++ b/sorreldock/protocol/http/discovery.py
@@ -207,6 +207,7 @@
     ) -> None:
         self._address = address
         self._version = version
+        self._outdated_version: int | None = None  # of the last change, if it was outdated
         self._max_list_bytes = max_list_bytes
         self._schedule = WatchSchedule(pushed, must_ask_in_s)
         self._draw = random.Random(seed).random
@@ -267,6 +268,7 @@
             connection.close()
 
     async def _read(self, connection: Connection) -> None:
+        self._outdated_version = None
         parser = h11.Connection(h11.CLIENT)
         request = h11.Request(
             method="GET",
@@ -302,6 +304,12 @@
 
     def _follow_result(self, result: ResolverResult) -> None:
         if result.kind is ListKind.DELTA and result.version < self._version:
+            if self._outdated_version is not None and result.version > self._outdated_version:
+                # A process that repeats old changes does not count on from them: this is another one, whose
+                # versions are not comparable.
+                self._version, self._outdated_version = 0, None
+                raise ListError("the versions are those of another discovery process")
+            self._outdated_version = result.version
             # An older change could list servers as ready that have begun to drain since.
             self._log(
                 "notice",
@@ -311,6 +319,6 @@
                 known=self._version,
             )
             return
-        self._version = result.version
+        self._version, self._outdated_version = result.version, None
         self._on_result(result)
         self.first_list_received.set()
--- a/sorreldock/protocol/server_client.py
+++ b/sorreldock/protocol/server_client.py
@@ -81,7 +81,7 @@
     def __init__(self, pool: ConnectionPool[ConnectionT]) -> None:
         self._pool = pool
         self._refuses_connections = False  # whether the last dial met a closed port
-        self.close_idle = pool.close_idle
+        self.change_process = pool.change_process
         self.discard = pool.discard
         self.trim = pool.trim
 
--- a/sorreldock/routing/subchannel.py
+++ b/sorreldock/routing/subchannel.py
@@ -221,7 +221,7 @@
                                 attempts.start_soon(self._stop_writing)
                         if restarted or not ready:
                             for client in self.clients.values():
-                                client.close_idle()
+                                client.change_process()
 
     def _unwritten(self) -> list[Attempt]:
         return [attempt for attempt in self._in_flight if not attempt.written]
--- a/sorreldock/routing/types.py
+++ b/sorreldock/routing/types.py
@@ -155,8 +155,8 @@
 class ServerClient(Protocol):
     """A client for one protocol of one server; cancelling an attempt closes its connection.
 
-    `close_idle` closes all idle connections, `trim` those that have been idle too long to be used again, and
-    `discard` ends the use of the client.
+    `change_process` closes all idle connections and keeps none of the others, `trim` closes those that have
+    been idle too long to be used again, and `discard` ends the use of the client.
     """
 
     async def run_attempt(self, rpc: RPC, progress: AttemptProgress) -> AttemptResult:
@@ -168,7 +168,7 @@
     async def probe(self) -> AttemptResult:
         """Request the health and load of the server; a failure is a result, too."""
 
-    def close_idle(self) -> None: ...
+    def change_process(self) -> None: ...
 
     def trim(self) -> None: ...
 
--- a/sorreldock/transport/pool.py
+++ b/sorreldock/transport/pool.py
@@ -56,6 +56,9 @@
         self._max_idle = max_idle
         self._min_idle_s = min_idle_s  # time after an attempt before a connection is reused
         self._idle: list[tuple[float, PooledT]] = []  # idle since, connection; used as a stack
+        # The connections in use that lead to the present process at the address.
+        self._in_use: set[PooledT] = set()
+        self._process_changes = 0
         budget.eviction_callbacks[Use.SERVER].append(self.evict)
 
     async def get(self) -> PooledT:
@@ -66,8 +69,19 @@
         while (idle := self._pop_idle()) is not None:
             since, pooled = idle
             if trio.current_time() - since < self._reusable_s and await pooled.is_usable():
+                self._in_use.add(pooled)
                 return pooled
             pooled.connection.close()
+        while True:
+            process_changes = self._process_changes
+            pooled = await self._open()
+            if process_changes == self._process_changes:
+                self._in_use.add(pooled)
+                return pooled
+            pooled.connection.close()  # it may lead to the earlier process
+
+    async def _open(self) -> PooledT:
+        """Open a connection; raise LocalShortage or DialFailed."""
         if not self._budget.acquire(Use.SERVER):
             raise LocalShortage("no descriptor available")
         on_close = lambda: self._budget.release(Use.SERVER)  # noqa: E731
@@ -85,7 +99,9 @@
 
     def release(self, pooled: PooledT, is_complete: bool) -> None:
         """Keep the connection for reuse if its last exchange is complete, else close it."""
-        if is_complete and pooled.renew():
+        is_current = pooled in self._in_use
+        self._in_use.discard(pooled)
+        if is_complete and is_current and pooled.renew():
             pooled.connection.release_buffers()
             self._idle.append((trio.current_time(), pooled))
             if len(self._idle) > self._max_idle:
@@ -112,6 +128,12 @@
         while self.evict():
             pass
 
+    def change_process(self) -> None:
+        """Close the idle connections, and keep none of those in use for another process at the address."""
+        self._process_changes += 1
+        self._in_use.clear()
+        self.close_idle()
+
     def discard(self) -> None:
         """Close idle connections and unregister from the budget, when the subchannel is removed."""
         self.close_idle()
