Repeat a failed query of a socket's state, so that a request's age is not taken for 0

Cause: in the soak 1 % of getsockopt calls fail with ENOMEM or ENOBUFS; last_arrival_age_s then returned 0, and closed_by_peer False. Class of bug: trouble of our own is taken for a statement about the peer. Change: the query is repeated up to three times.

--- a/sorreldock/transport/connection.py
+++ b/sorreldock/transport/connection.py
@@ -23,6 +23,7 @@
 CLOSED_BY_PEER_STATES = frozenset({TCP_CLOSE, TCP_CLOSE_WAIT, TCP_LAST_ACK, TCP_CLOSING})
 # The part of tcp_info (include/uapi/linux/tcp.h) up to tcpi_last_data_recv, in ms.
 TCP_INFO_TO_LAST_DATA = struct.Struct("=52xI")
+MAX_QUERIES = 4  # of a socket's state, which may fail for a moment
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # struct linger: on, for 0 s
 TCP_NOTSENT_LOWAT = 25  # of include/uapi/linux/tcp.h; not in the socket module
 DISCARD_BUFFER = bytearray(65536)  # shared by all connections, for received data that is discarded
@@ -254,24 +255,32 @@
             self.close()
 
 
+def query_tcp_info(sock: Any, size: int) -> bytes:
+    """Return the first `size` bytes of the kernel's tcp_info, or fewer; none if it can't be queried.
+
+    A query may fail for lack of a resource (getsockopt(2)), and the next one succeed. What it would have
+    shown, a close or the age of a request, must not be missed for that.
+    """
+    if not isinstance(sock, trio.socket.SocketType) or sock.family == socket.AF_UNIX:
+        return b""
+    for _ in range(MAX_QUERIES):
+        try:
+            return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
+        except OSError as error:
+            if not is_transient(error):
+                break
+    return b""
+
+
 def closed_by_peer(sock: Any) -> bool:
     """Return whether the kernel has received the peer's FIN or RST; False if that can't be queried."""
-    if not isinstance(sock, trio.socket.SocketType) or sock.family == socket.AF_UNIX:
-        return False
-    try:
-        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in CLOSED_BY_PEER_STATES
-    except OSError:
-        return False  # a failed query doesn't mean closed; the next read will report a close
+    info = query_tcp_info(sock, 1)
+    return bool(info) and info[0] in CLOSED_BY_PEER_STATES  # else the next read will report a close
 
 
 def last_arrival_age_s(sock: Any) -> float:
     """Return the seconds since the kernel received the last bytes on a socket; 0 if that can't be queried."""
-    if not isinstance(sock, trio.socket.SocketType) or sock.family == socket.AF_UNIX:
-        return 0.0
-    try:
-        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_TO_LAST_DATA.size)
-    except OSError:
-        return 0.0
+    info = query_tcp_info(sock, TCP_INFO_TO_LAST_DATA.size)
     if len(info) < TCP_INFO_TO_LAST_DATA.size:
         return 0.0
     age_ms: int = TCP_INFO_TO_LAST_DATA.unpack(info)[0]
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import time
+from typing import Any
 
+import pytest
 import trio
 import trio.testing
 from grpc_peers import BOTH_PROTOCOLS, DualProtocolServer, frame_message, grpc_client
@@ -130,6 +133,30 @@
     assert 1.0 < told_s <= 2.0 - KERNEL_WAIT_S + CLOCK_SLACK_S
 
 
+@trio_test
+async def test_the_time_that_a_request_waits_counts_though_a_query_of_its_socket_fails(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    failed = False
+
+    def fail_first_query_of_age(sock: Any, *words: Any) -> Any:
+        nonlocal failed
+        failed = words[-1] > 1 and not failed
+        if failed:
+            raise OSError(errno.ENOBUFS, "no buffer space")
+        return getsockopt(sock, *words)
+
+    server = ScriptedServer()
+    async with running_router(server) as router:
+        wire = await router.connect()
+        getsockopt = type(wire.stream.socket).getsockopt
+        monkeypatch.setattr(type(wire.stream.socket), "getsockopt", fail_first_query_of_age)
+        await send_and_hold_up(wire.stream, raw(x_expires_in=b"2000m"))
+        assert (await read_answer(wire)).status == 200
+    told_s = int(server.received_requests[0].headers["x-expires-in"][:-1]) / 1e6
+    assert 1.0 < told_s <= 2.0 - KERNEL_WAIT_S + CLOCK_SLACK_S
+
+
 @trio_test
 async def test_the_time_that_a_grpc_request_waits_in_the_kernel_counts() -> None:
     server = DualProtocolServer()
