Let the soak draw crowds, series of signals, slow servers and answers that end early

The restart experiment prints the lag of its own process, which bunches reconnections that were due at different times.

--- a/sorreldock/lab/hostile/usage.py
+++ b/sorreldock/lab/hostile/usage.py
@@ -34,6 +34,14 @@
     return fields
 
 
+def peak_memory_mb(pid: int) -> float:
+    """Return the highest resident memory of a process so far; 0 if it has ended."""
+    try:
+        return _status_mb(pid).get("VmHWM", 0.0)
+    except (FileNotFoundError, ProcessLookupError):
+        return 0.0
+
+
 def _cpu_s(pid: int) -> float:
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
--- a/sorreldock/lab/reconnect.py
+++ b/sorreldock/lab/reconnect.py
@@ -28,6 +28,7 @@
 from .processes import Cluster, RouterProcess, start_cluster
 from .settings import FleetSettings
 
+LAG_INTERVAL_S = 0.01
 BIN_S = 0.1  # of the histogram of connections
 
 
@@ -61,6 +62,7 @@
     resends: int = 0
     overlapping_attempts: int = 0
     wait_times_s: list[float] = field(default_factory=list)  # durations of the calls made after the restart
+    max_lag_s: float = 0.0  # of this process's timers, which bunches what was due at different times
 
     def observe(self, event: str, router: str, at: float) -> None:
         """Record an event of a client's connections, if it is after the restart."""
@@ -104,6 +106,7 @@
             "wait_p50_s": round(float(np.percentile(self.wait_times_s, 50)), 4) if self.wait_times_s else 0.0,
             "wait_p99_s": round(float(np.percentile(self.wait_times_s, 99)), 4) if self.wait_times_s else 0.0,
             "sent_twice_while_open": self.overlapping_attempts,
+            "max_lag_s": round(self.max_lag_s, 3),
         }
 
 
@@ -215,6 +218,12 @@
     results.retries += client.retries
 
 
+async def _measure_lag(results: SideResults, until: float) -> None:
+    while (due := trio.current_time() + LAG_INTERVAL_S) < until:
+        await trio.sleep_until(due)
+        results.max_lag_s = max(results.max_lag_s, trio.current_time() - due)
+
+
 async def _restart(router: RouterProcess) -> None:
     await router.stop()
     router.start()
@@ -230,6 +239,8 @@
         report(f"{kind}: {plan.clients} clients send requests to {plan.routers} routers")
         started_at = trio.current_time() + 0.2
         async with trio.open_nursery() as nursery:
+            ends_at = started_at + plan.before_restart_s + plan.after_restart_s
+            nursery.start_soon(_measure_lag, results, ends_at)
             for index in range(plan.clients):
                 nursery.start_soon(run_client, plan, results, cluster, index, started_at)
             await trio.sleep_until(started_at + plan.before_restart_s)
--- a/sorreldock/lab/soak/faults.py
+++ b/sorreldock/lab/soak/faults.py
@@ -17,6 +17,8 @@
     RESTART = "restart"  # SIGTERM, SIGKILL at the earliest time allowed, then a new process
     KILL = "kill"  # SIGKILL, then a new process
     RELOAD = "reload"  # SIGHUP, some in quick succession
+    SIGNALS = "signals"  # SIGTERM several times, with SIGHUP between, then SIGKILL and a new process
+    CROWD = "crowd"  # hostile clients in large numbers, only in runs with a crowd
     SUSPEND = "hold_up"  # SIGSTOP, and SIGCONT shortly after
 
 
@@ -33,12 +35,13 @@
     seed: int
 
 
-def draw_plan(seed: int, span_s: float, faults_per_s: float) -> list[PlannedFault]:
+def draw_plan(seed: int, span_s: float, faults_per_s: float, has_crowd: bool = False) -> list[PlannedFault]:
     """Draw a plan with a mean rate of `faults_per_s`; the faults may overlap in time."""
     rng = random.Random(seed)
+    kinds = [kind for kind in FaultKind if has_crowd or kind is not FaultKind.CROWD]
     plan: list[PlannedFault] = []
     at = 1.0
     while (at := at + rng.expovariate(faults_per_s)) < span_s - 1.0:
-        kind = rng.choice(list(FaultKind))
+        kind = rng.choice(kinds)
         plan.append(PlannedFault(at, rng.uniform(0.5, 4.0), kind, rng.getrandbits(32)))
     return plan
--- a/sorreldock/lab/soak/invariants.py
+++ b/sorreldock/lab/soak/invariants.py
@@ -38,6 +38,11 @@
         for run in records.process_runs
         if has_crashed(run)
     ]
+    broken_rules += [
+        f"memory: {run.router} had {run.peak_memory_mb:.0f} MB resident of {run.memory_limit_mb:.0f}"
+        for run in records.process_runs
+        if run.memory_limit_mb and run.peak_memory_mb > run.memory_limit_mb
+    ]
     return broken_rules
 
 
--- a/sorreldock/lab/soak/records.py
+++ b/sorreldock/lab/soak/records.py
@@ -47,6 +47,8 @@
     killed_at: float | None = None  # SIGKILL was sent; the kernel may accept connections until `ended_at`
     ended_at: float | None = None
     status: int | None = None  # exit status; negative: the number of the signal
+    peak_memory_mb: float = 0.0
+    memory_limit_mb: float = 0.0  # 0 for none
 
 
 @dataclass(slots=True)
--- a/sorreldock/lab/soak/routers.py
+++ b/sorreldock/lab/soak/routers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import os
 import signal
 import subprocess
@@ -11,6 +12,7 @@
 
 import trio
 
+from ..hostile.usage import peak_memory_mb
 from ..processes import free_port, start_command
 from . import system_calls
 from .records import ProcessRun, Records
@@ -60,12 +62,14 @@
         config: dict[str, Any],
         records: Records,
         faulty_calls: dict[str, Any] | None = None,
+        memory_limit_mb: float = 0.0,
     ) -> None:
         self.name = name
         # Each router has its own IP address, so that no outgoing connection of others takes the port.
         self.address = f"{host}:{free_port()}"
         self.log = folder / f"{name}.log"
         self._records = records
+        self._memory_limit_mb = memory_limit_mb
         self._process: subprocess.Popen[bytes] | None = None
         self._run: ProcessRun | None = None
         self._serving = False
@@ -90,7 +94,7 @@
             self._process = start_command(
                 ["serve"], self._environment, self._module, stdin=subprocess.DEVNULL, stdout=log, stderr=log
             )
-        self._run = ProcessRun(self.name, trio.current_time())
+        self._run = ProcessRun(self.name, trio.current_time(), memory_limit_mb=self._memory_limit_mb)
         self._records.process_runs.append(self._run)
         with trio.fail_after(START_TIMEOUT_S):
             while self.log.read_bytes().count(b"PHASE - serving") == previous_starts:
@@ -104,17 +108,31 @@
         if self._process is not None and self._process.poll() is None:
             self._process.send_signal(number)
 
-    async def stop(self, kill_after_s: float) -> None:
-        """Send SIGTERM, and SIGKILL if the process still runs after `kill_after_s`."""
+    @property
+    def peak_memory_mb(self) -> float:
+        """The highest resident memory of the running process so far; 0 without one."""
+        return 0.0 if self._process is None else peak_memory_mb(self._process.pid)
+
+    async def stop(self, kill_after_s: float, again_s: float = math.inf) -> None:
+        """Send SIGTERM, and SIGKILL if the process still runs after `kill_after_s`.
+
+        SIGHUP and SIGTERM are sent again every `again_s`.
+        """
         process, run = self._process, self._run
         if process is None or run is None:
             return
         self._serving = False
         run.terminated_at = trio.current_time()
         self.signal(signal.SIGTERM)
+        next_at = trio.current_time() + again_s
         with trio.move_on_after(kill_after_s):
             while process.poll() is None:
                 await trio.sleep(POLL_INTERVAL_S)
+                run.peak_memory_mb = max(run.peak_memory_mb, self.peak_memory_mb)
+                if trio.current_time() >= next_at:
+                    next_at = trio.current_time() + again_s
+                    self.signal(signal.SIGHUP)
+                    self.signal(signal.SIGTERM)
         await self.kill()
 
     async def kill(self) -> None:
@@ -123,6 +141,7 @@
         process, run = self._process, self._run
         if process is None or run is None:
             return
+        run.peak_memory_mb = max(run.peak_memory_mb, self.peak_memory_mb)
         if process.poll() is None:
             run.killed_at = trio.current_time()
             process.kill()
--- a/sorreldock/lab/soak/runner.py
+++ b/sorreldock/lab/soak/runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import multiprocessing
 import random
 import signal
 import tempfile
@@ -11,6 +12,8 @@
 
 import trio
 
+from ..hostile.crowd import run_crowd
+from ..hostile.plan import Picture, Plan
 from . import faults
 from .clients import Client, ClientBehaviour, draw_request
 from .invariants import find_breaks
@@ -26,6 +29,16 @@
 LAG_INTERVAL_S = 0.01
 # Texts of log records that report a broken rule or a fault in the router.
 FAULT_RECORDS = (" VIOLATION ", " FRONT ", " MODULE ", "fault in the server client", "Traceback")
+CROWD_PICTURES = (
+    Picture.TRICKLE,
+    Picture.STOP,
+    Picture.MANY_FIELDS,
+    Picture.FLOOD,
+    Picture.UNSOUND_FLOOD,
+    Picture.LEAVERS,
+)
+CROWD_CLIENTS = 150
+CROWD_START_S = 1.5  # for the process to start
 ZONES = ["north", "south", "west", "east"]
 
 
@@ -41,6 +54,8 @@
     requests_per_s: float = 6.0  # per router
     faults_per_s: float = 1.0
     changes_per_s: float = 0.0  # of the server list, in addition to the faults
+    has_crowd: bool = False  # hostile clients in large numbers, as one kind of fault
+    memory_mb: int = 192
     failing_calls: float = 0.0  # share of system calls, in half of the routers
     client_behaviours: tuple[ClientBehaviour, ...] = (
         ClientBehaviour.ONE_SHOT,
@@ -79,7 +94,11 @@
     async def run(self) -> Verdict:
         """Run the soak to its end and check its records."""
         soak = self.soak
-        plan = faults.draw_plan(soak.seed, soak.span_s, soak.faults_per_s) if soak.faults_per_s else []
+        plan = (
+            faults.draw_plan(soak.seed, soak.span_s, soak.faults_per_s, soak.has_crowd)
+            if soak.faults_per_s
+            else []
+        )
         async with trio.open_nursery() as nursery, self.fleet.running():
             nursery.start_soon(self._measure_lag)
             self.routers = [self._make_router(number) for number in range(soak.routers)]
@@ -106,7 +125,7 @@
         config: dict[str, Any] = {
             "discovery": self.fleet.open_discovery_for(name),
             "seed": f"{soak.seed * 1000 + number:x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": soak.memory_mb, "sockets": 1024},
             "known": self.fleet.full_list(),
             "settings": {
                 **SETTINGS,
@@ -124,7 +143,7 @@
         if not soak.failing_calls:
             faulty_calls = None
         host = f"127.88.0.{number + 1}"
-        return RouterProcess(name, host, self._log_folder, config, self.records, faulty_calls)
+        return RouterProcess(name, host, self._log_folder, config, self.records, faulty_calls, soak.memory_mb)
 
     async def _run_traffic(self, plan: list[faults.PlannedFault]) -> None:
         with trio.CancelScope() as scope:
@@ -189,6 +208,12 @@
                 await router.stop(KILL_AFTER_S)
                 await trio.sleep(RESTART_DELAY_S)
                 await router.start()
+            case faults.FaultKind.SIGNALS:
+                await router.stop(KILL_AFTER_S, again_s=rng.uniform(0.05, 0.5))
+                await trio.sleep(RESTART_DELAY_S)
+                await router.start()
+            case faults.FaultKind.CROWD:
+                await self._send_crowd(router, fault.lasts, rng)
             case faults.FaultKind.KILL:
                 await router.kill()
                 await trio.sleep(RESTART_DELAY_S)
@@ -204,6 +229,21 @@
                 finally:
                     router.signal(signal.SIGCONT)
 
+    async def _send_crowd(self, router: RouterProcess, duration_s: float, rng: random.Random) -> None:
+        """Let hostile clients, in a process of their own, connect to a router."""
+        picture = rng.choice(CROWD_PICTURES)
+        clients = 1 if picture in (Picture.FLOOD, Picture.UNSOUND_FLOOD) else CROWD_CLIENTS
+        plan = Plan(picture, clients=clients, span_s=duration_s, seed=rng.getrandbits(32))
+        process = multiprocessing.get_context("spawn").Process(
+            target=run_crowd, args=(plan, router.address), daemon=True
+        )
+        process.start()
+        try:
+            await trio.sleep(duration_s + CROWD_START_S)
+        finally:
+            process.kill()
+            process.join()
+
     async def _fail_requests(self, duration_s: float, rng: random.Random) -> None:
         before = self.fleet.behaviour
         fault = rng.choice([fault for fault in ServerFault if fault is not ServerFault.NONE])
--- a/sorreldock/lab/soak/servers.py
+++ b/sorreldock/lab/soak/servers.py
@@ -19,6 +19,9 @@
 
 EVENT = b'data: {"n":%d}\n\n'
 DONE = b"data: [DONE]\n\n"
+SLOW_EVENT = b'data: {"text":"' + b"x" * 1480 + b'"}\n\n'
+SLOW_EVENT_PIECES, SLOW_EVENT_INTERVAL_S = 15, 0.4
+SLOW_READ_BYTES, SLOW_READ_INTERVAL_S = 8192, 0.05
 KEEPALIVE_INTERVAL_S = 2.0  # of the empty lines that discovery sends while nothing changes
 SERVERS_PER_SUBNET = 250
 BACKLOG = 128
@@ -33,6 +36,9 @@
     RESET = "reset"  # the connection is closed before the answer
     CUT_OFF = "cut_off"  # the connection is closed after the first event
     HANG = "hang"  # no answer, while the connection stays open
+    EARLY_END = "early_end"  # the answer ends with its last chunk, but without its last event
+    SLOW_EVENT = "slow_event"  # a long event is written in small pieces
+    SLOW_READ = "slow_read"  # the request is read in small pieces
 
 
 @dataclass(slots=True)
@@ -203,20 +209,28 @@
         headers = {name.decode(): value.decode() for name, value in head.headers}
         timeout_s = float(headers.get("x-expires-in", "0u").rstrip("um")) / 1e6
         attempt = ReceivedAttempt(headers.get("x-trace-id", ""), server.uid, trio.current_time(), timeout_s)
-        while not isinstance(event := await _next_event(stream, parser), h11.EndOfMessage):
+        reads_slowly = self._draws(ServerFault.SLOW_READ)
+        while not isinstance(event := await _next_event(stream, parser, reads_slowly), h11.EndOfMessage):
             if isinstance(event, h11.ConnectionClosed):
                 return False
+        if reads_slowly:  # the attempt counts from its last byte on
+            attempt.received_at = trio.current_time()
+            attempt.timeout_s = 0.0  # told with the first byte, so that it can't be compared
         self.records.attempts.append(attempt)
         try:
             return await self._answer(attempt, stream, parser)
         finally:
             attempt.ended_at = trio.current_time()
 
+    def _draws(self, fault: ServerFault) -> bool:
+        """Draw whether a request meets this fault."""
+        return self.behaviour.fault is fault and self._rng.random() < self.behaviour.fault_share
+
     async def _answer(
         self, attempt: ReceivedAttempt, stream: trio.SocketStream, parser: h11.Connection
     ) -> bool:
         behaviour = self.behaviour
-        fault = behaviour.fault if self._rng.random() < behaviour.fault_share else ServerFault.NONE
+        fault = behaviour.fault if self._draws(behaviour.fault) else ServerFault.NONE
         if fault is ServerFault.HANG:
             await _until_closed(stream)
             return False
@@ -234,7 +248,15 @@
             return True
         response = h11.Response(status_code=200, headers=[("content-type", "text/event-stream")])
         data = parser.send(response) or b""
+        if fault is ServerFault.SLOW_EVENT:
+            await stream.send_all(data)
+            data = b""
+            if not await self._send_slow_event(attempt, stream, parser):
+                return False
         for number in range(behaviour.events):
+            if fault is ServerFault.EARLY_END and number == behaviour.events - 1:
+                attempt.was_cut_off = True
+                break
             event = EVENT % number if number < behaviour.events - 1 else DONE
             data += parser.send(h11.Data(data=event)) or b""
             await stream.send_all(data)
@@ -247,7 +269,19 @@
                 stream, behaviour.event_interval_s
             ):
                 return False
-        await stream.send_all(parser.send(h11.EndOfMessage()) or b"")
+        await stream.send_all(data + (parser.send(h11.EndOfMessage()) or b""))
+        return True
+
+    async def _send_slow_event(
+        self, attempt: ReceivedAttempt, stream: trio.SocketStream, parser: h11.Connection
+    ) -> bool:
+        """Write an event in pieces for longer than the gap that a stream may have between two events."""
+        attempt.sent_body += SLOW_EVENT
+        size = len(SLOW_EVENT) // SLOW_EVENT_PIECES
+        for start in range(0, len(SLOW_EVENT), size):
+            await stream.send_all(parser.send(h11.Data(data=SLOW_EVENT[start : start + size])) or b"")
+            if not await _wait_unless_closed(stream, SLOW_EVENT_INTERVAL_S):
+                return False
         return True
 
 
@@ -265,9 +299,11 @@
     return data
 
 
-async def _next_event(stream: trio.SocketStream, parser: h11.Connection) -> Any:
+async def _next_event(stream: trio.SocketStream, parser: h11.Connection, slowly: bool = False) -> Any:
     while (event := parser.next_event()) is h11.NEED_DATA:
-        parser.receive_data(bytes(await stream.receive_some(65536)))
+        if slowly:
+            await trio.sleep(SLOW_READ_INTERVAL_S)
+        parser.receive_data(bytes(await stream.receive_some(SLOW_READ_BYTES if slowly else 65536)))
     return event
 
 
--- a/sorreldock/program/soak_command.py
+++ b/sorreldock/program/soak_command.py
@@ -29,6 +29,8 @@
     failing_calls: Annotated[
         float, typer.Option(min=0.0, max=0.2, help="Share of system calls that fail, in half of the routers.")
     ] = 0.01,
+    crowd: Annotated[bool, typer.Option(help="Hostile clients as a kind of fault.")] = False,
+    memory: Annotated[int, typer.Option(min=48, help="The routers' memory_mb.")] = 192,
     logs: Annotated[Path | None, typer.Option(help="Folder for the logs of failing seeds.")] = None,
     as_json: AsJson = False,
 ) -> None:
@@ -51,6 +53,8 @@
                     faults_per_s=faults,
                     changes_per_s=changes,
                     failing_calls=failing_calls,
+                    has_crowd=crowd,
+                    memory_mb=memory,
                 )
             )
             failed = failed or bool(verdict.breaks)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,9 +26,10 @@
 
 
 def test_a_plan_depends_on_its_seed_and_its_faults_overlap() -> None:
-    plan = draw_plan(3, 60.0, 2.0)
-    assert plan == draw_plan(3, 60.0, 2.0) != draw_plan(4, 60.0, 2.0)
+    plan = draw_plan(3, 60.0, 2.0, has_crowd=True)
+    assert plan == draw_plan(3, 60.0, 2.0, has_crowd=True) != draw_plan(4, 60.0, 2.0, has_crowd=True)
     assert {fault.kind for fault in plan} == set(FaultKind)
+    assert FaultKind.CROWD not in {fault.kind for fault in draw_plan(3, 60.0, 2.0)}
     assert any(b.at < a.at + a.lasts for a, b in pairwise(plan))
 
 
