Bound waiting log records in bytes, and end idle streams when there is no memory for others

Class of bug: a limit for each item bounds no sum. Change: 1 MiB of records may wait, a value has at most 1,000 characters. When the ledger has no room for a stream, the one that has waited longest for a message ends with UNAVAILABLE. Evidence: two tests of tests/test_bounds.py (fail by construction before: neither bound existed).

--- a/sorreldock/program/syslog.py
+++ b/sorreldock/program/syslog.py
@@ -26,6 +26,8 @@
 FACILITY = 16  # local0
 SD_ID = "sorreldock@32473"  # 32473 is the enterprise number for documentation; no other one is registered
 MAX_WAITING_RECORDS = 2000
+MAX_WAITING_BYTES = 1024 * 1024
+MAX_VALUE_LENGTH = 1000  # of a parameter, which may hold what a peer has sent
 DIAL_TIMEOUT_S = 2.0
 WRITE_TIMEOUT_S = 5.0
 SD_ESCAPED = re.compile(r'["\\\]]')
@@ -49,7 +51,7 @@
 
 def sd_value(value: object) -> str:
     r"""Escape `"`, `\` and `]` in a parameter's value (RFC 5424 section 6.3.3), and replace line breaks."""
-    return SD_ESCAPED.sub(r"\\\g<0>", printable(str(value)))
+    return SD_ESCAPED.sub(r"\\\g<0>", printable(str(value)[:MAX_VALUE_LENGTH]))
 
 
 def record(
@@ -91,13 +93,14 @@
         self._max_level = SEVERITIES[min_severity]
         self._descriptor = sys.stderr.fileno() if descriptor is None else descriptor
         self._waiting: deque[bytes] = deque()
+        self._waiting_bytes = 0
         self._wake = trio.Event()
 
     def log(self, severity: str, message_id: str, text: str, **data: object) -> None:
         """Queue a record, with `data` as its parameters, unless its severity is below the minimum."""
         if SEVERITIES[severity] > self._max_level:
             return
-        if len(self._waiting) >= MAX_WAITING_RECORDS:
+        if len(self._waiting) >= MAX_WAITING_RECORDS or self._waiting_bytes >= MAX_WAITING_BYTES:
             self.dropped += 1
             return
         if self.dropped:
@@ -109,7 +112,15 @@
     def _append(self, severity: str, message_id: str, text: str, data: dict[str, object]) -> None:
         system = self._system
         at = datetime.fromtimestamp(system.wall(), UTC)
-        self._waiting.append(record(severity, self.host, message_id, text, data, at, system.pid))
+        line = record(severity, self.host, message_id, text, data, at, system.pid)
+        self._waiting.append(line)
+        self._waiting_bytes += len(line)
+
+    def _take(self) -> bytes:
+        """Remove and return the oldest record."""
+        line = self._waiting.popleft()
+        self._waiting_bytes -= len(line)
+        return line
 
     async def run(self) -> None:
         """Write the queued records until cancelled."""
@@ -126,7 +137,7 @@
     async def _write_to_descriptor(self) -> None:
         while True:
             await self._wait_for_record()
-            lines = b"".join(self._waiting.popleft() + b"\n" for _ in range(min(len(self._waiting), 100)))
+            lines = b"".join(self._take() + b"\n" for _ in range(min(len(self._waiting), 100)))
             await self._system.write(self._descriptor, lines)
 
     async def _send_to_collector(self) -> None:
@@ -148,7 +159,7 @@
                     frame = self._waiting[0]
                     with trio.fail_after(WRITE_TIMEOUT_S):
                         await connection.send(b"%d %b" % (len(frame), frame))
-                    self._waiting.popleft()
+                    self._take()
                     pause_s = 0.1
             except (ConnectionLost, trio.TooSlowError):
                 await trio.sleep(pause_s)
--- a/sorreldock/protocol/kserve/call.py
+++ b/sorreldock/protocol/kserve/call.py
@@ -41,6 +41,7 @@
         self.unacknowledged_bytes = 0  # received, not yet acknowledged for flow control
         self.last_arrival_age_s = 0.0  # how long the kernel held the last received bytes
         self.exceeds_budget = False  # a message didn't fit into the payload budget
+        self.is_evicted = False
         self.ended = False  # the client has half-closed the stream
         self.reset = False
         self.changed = trio.Event()
@@ -95,6 +96,11 @@
             self.exceeds_budget = True
         self.notify()
 
+    def evict(self) -> None:
+        """End the stream, which waits for a message, to make room for another."""
+        self.is_evicted = True
+        self.notify()
+
     def refuse_for_memory(self) -> None:
         self.exceeds_budget = True
         self.deframer.clear()
@@ -157,8 +163,15 @@
             self.acknowledge_received()
             # A stream may stay open between messages; a message that has started must continue.
             started = self.is_unary or self.deframer.partial
-            with trio.move_on_after(limits.STALL_TIMEOUT_S if started else math.inf) as stall:
-                await self.changed.wait()
+            if not started:
+                self.client.front.idle_streams[self] = None
+            try:
+                with trio.move_on_after(limits.STALL_TIMEOUT_S if started else math.inf) as stall:
+                    await self.changed.wait()
+            finally:
+                self.client.front.idle_streams.pop(self, None)
+            if self.is_evicted:
+                raise GrpcError(Code.UNAVAILABLE, "too many streams", [("grpc-retry-pushback-ms", "1000")])
             if stall.cancelled_caught:
                 raise GrpcError(Code.DEADLINE_EXCEEDED, "the request does not go on")
 
--- a/sorreldock/protocol/kserve/connection.py
+++ b/sorreldock/protocol/kserve/connection.py
@@ -159,6 +159,7 @@
                 headers = [(str(k), str(v)) for k, v in event.headers]
                 holding = Holding(self.front.ledger[Account.STREAMS])
                 if not holding.acquire(STREAM_BYTES + sum(len(k) + len(v) for k, v in headers)):
+                    self.front.evict_idle_stream()
                     self.refuse_stream(event.stream_id)
                     return
                 stream = self.streams[event.stream_id] = ClientStream(self, event.stream_id, headers, holding)
--- a/sorreldock/protocol/kserve/front.py
+++ b/sorreldock/protocol/kserve/front.py
@@ -16,7 +16,7 @@
 from ...transport.connection import Connection, ConnectionLost
 from .. import front as limits
 from ..front import Front, Resources
-from .call import parse
+from .call import ClientStream, parse
 from .connection import ClientConnection
 from .metadata import FrontSettings
 
@@ -41,6 +41,15 @@
         self.settings = settings
         self.version = version
         self.accepting = True
+        # Streams between two messages, the one that has waited longest first.
+        self.idle_streams: dict[ClientStream, None] = {}
+
+    def evict_idle_stream(self) -> None:
+        """End the stream that has waited longest for a message, so that the next one finds memory."""
+        stream = next(iter(self.idle_streams), None)
+        if stream is not None:
+            del self.idle_streams[stream]
+            stream.evict()
 
     def create_client(self, connection: Connection) -> ClientConnection:
         return ClientConnection(self, connection)
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -16,6 +16,7 @@
 from test_bad_days import all_of, raw
 
 from sorreldock.kserve.framing import Code
+from sorreldock.program.syslog import MAX_WAITING_BYTES, Syslog
 from sorreldock.protocol import front as limits
 from sorreldock.routing.timers import Timers
 from sorreldock.transport.blocks import BLOCK_BYTES, BlockBuffer
@@ -223,3 +224,25 @@
             client.sendall(b"".join(raw(x_trace_id=b"t%d" % number) for number in range(20)))
         await trio.sleep(0.3)
     assert len(server.received_requests) == 1
+
+
+@trio_test
+async def test_idle_streams_make_room_for_requests() -> None:
+    async with (
+        running_router(DualProtocolServer(), operator=BOTH_PROTOCOLS) as router,
+        grpc_client(router) as client,
+    ):
+        router.program.ledger[Account.STREAMS].max_used = 4 * 13_000
+        idle = [await client.start("ModelStreamInfer", end_stream=False) for _ in range(4)]
+        await trio.sleep(0.1)
+        refused = await client.start("ModelInfer", grpc_request())
+        assert (await refused.answer())[0] == -1 and refused.reset == ErrorCodes.REFUSED_STREAM
+        assert (await idle[0].answer())[0] == Code.UNAVAILABLE
+        assert (await client.call("ModelInfer", grpc_request()))[0] == Code.OK
+
+
+def test_waiting_log_records_are_bounded_in_bytes() -> None:
+    syslog = Syslog("n1", descriptor=2)
+    for _ in range(3000):
+        syslog.log("err", "TEST", "x" * 2000, reason="y" * 100_000)
+    assert sum(map(len, syslog._waiting)) <= MAX_WAITING_BYTES + 4000 and syslog.dropped > 1000
