Let the benchmarks' server end its answers with data: [DONE]

Cause: its nine events had no last event, so the router now breaks the answer off, rightly. Change: the ninth event is data: [DONE].

--- a/benchmarks/answers.py
+++ b/benchmarks/answers.py
@@ -8,9 +8,11 @@
 from typing import Any
 
 EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"abcdefgh"},"finish_reason":null}]}\n\n'
+LAST_EVENT = b"data: [DONE]\n\n"
 ANSWER = (
     b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
-    + 9 * (b"%x\r\n%s\r\n" % (len(EVENT), EVENT))
+    + 8 * (b"%x\r\n%s\r\n" % (len(EVENT), EVENT))
+    + b"%x\r\n%s\r\n" % (len(LAST_EVENT), LAST_EVENT)
     + b"0\r\n\r\n"
 )
 BODY = json.dumps({"model": "alt-text", "messages": [{"role": "user", "content": "x" * 400}]}).encode()
