Record what is refused, what is held by account, and a late event loop

Change: once a second at most, REJECTED (counts by status, bytes held by account), LOOP (over 0.1 s late) and CROWD as before, from program/monitor.py.

--- a/sorreldock/program/serve.py
+++ b/sorreldock/program/serve.py
@@ -25,6 +25,7 @@
 from . import early_signals
 from .calls import OperatorCommands
 from .config import Config
+from .monitor import Monitor
 from .phases import Lifecycle, Phase
 from .syslog import Syslog
 
@@ -183,8 +184,7 @@
                 # request on.
                 with trio.move_on_after(FIRST_LIST_TIMEOUT_S):
                     await self.resolver.first_list_received.wait()
-            for front in self.fronts.values():
-                nursery.start_soon(front.log_evictions)
+            nursery.start_soon(Monitor(self.fronts.values(), self.ledger, self.log).run)
             for protocol, listener in self.listeners.items():
                 nursery.start_soon(listener.serve, nursery, self.fronts[protocol].handle)
             self.lifecycle.enter(Phase.SERVING)
--- a/sorreldock/protocol/front.py
+++ b/sorreldock/protocol/front.py
@@ -115,7 +115,10 @@
         self.log = log
         # The connections that may be closed to make room.
         self.queue: EvictionQueue[ClientT] = EvictionQueue()
-        self.evictions: Counter[str] = Counter()  # connections closed to make room, by stage
+        # Since the last record: connections closed to make room, by stage, and requests that were answered
+        # without a server, by status.
+        self.evictions: Counter[str] = Counter()
+        self.rejections: Counter[str] = Counter()
         budget.eviction_callbacks[Use.CLIENT].append(self.evict_clients)
         budget.evictable_counts.append(lambda: len(self.queue))
 
@@ -203,14 +206,6 @@
         request.reserved_bytes += count
         return True
 
-    async def log_evictions(self) -> None:
-        """Log the number of evicted connections, once a second."""
-        while True:
-            await trio.sleep(1.0)
-            if self.evictions:
-                counts, self.evictions = self.evictions, Counter()
-                self.log("notice", "CROWD", "connections closed to make room", **counts)
-
     async def wait_closed(self, within_s: float) -> None:
         """Wait until all answers are delivered, then at most `within_s` for the connections to end.
 
--- a/sorreldock/protocol/http/connection.py
+++ b/sorreldock/protocol/http/connection.py
@@ -215,9 +215,11 @@
                         return
                     await self.handle_request(request)
                 except PayloadRefused as refusal:
+                    self.front.rejections["http_503"] += 1
                     await self.answer(refusal.status, refusal.text, refusal.headers, reads_on=True)
                     await self.discard_body()
                 except ImmediateAnswer as answer:
+                    self.front.rejections[f"http_{answer.status}"] += 1
                     await self.answer(answer.status, answer.text, answer.headers)
                 finally:
                     self.release_body()
--- a/sorreldock/protocol/kserve/call.py
+++ b/sorreldock/protocol/kserve/call.py
@@ -190,6 +190,8 @@
                     await self.handle()
                     await self.send_status(Code.OK, metadata=self.trailing_metadata)
                 except GrpcError as error:
+                    if self.final is None:
+                        self.client.front.rejections[f"grpc_{error.code}"] += 1
                     await self.send_status(error.code, error.message, error.metadata)
         except (ConnectionLost, h2.exceptions.ProtocolError):
             pass  # the client has cancelled or closed; the status can't be sent
--- a/sorreldock/protocol/kserve/connection.py
+++ b/sorreldock/protocol/kserve/connection.py
@@ -200,6 +200,7 @@
         If the client has reset it in the same read, there is nothing to refuse, and the error must not end
         the other streams of the connection.
         """
+        self.front.rejections["grpc_refused_stream"] += 1
         with suppress(h2.exceptions.StreamClosedError):
             self.wire.h2.reset_stream(stream_id, h2.errors.ErrorCodes.REFUSED_STREAM)
 
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -16,6 +16,7 @@
 from test_bad_days import all_of, raw
 
 from sorreldock.kserve.framing import Code
+from sorreldock.program.monitor import Monitor
 from sorreldock.program.syslog import MAX_WAITING_BYTES, Syslog
 from sorreldock.protocol import front as limits
 from sorreldock.routing.timers import Timers
@@ -246,3 +247,30 @@
     for _ in range(3000):
         syslog.log("err", "TEST", "x" * 2000, reason="y" * 100_000)
     assert sum(map(len, syslog._waiting)) <= MAX_WAITING_BYTES + 4000 and syslog.dropped > 1000
+
+
+@trio_test
+async def test_what_is_refused_and_held_is_recorded_once_a_second() -> None:
+    records: list[tuple[str, dict[str, object]]] = []
+    async with running_router(ScriptedServer()) as router:
+        program = router.program
+        monitor = Monitor(
+            program.fronts.values(),
+            program.ledger,
+            lambda severity, name, text, **data: records.append((name, data)),
+        )
+        assert (await router.send_request("GET", "/nowhere")).status == 404
+        program.payloads.max_used = 100
+        assert (await router.post(b"x" * 2000)).status == 503
+        program.ledger[Account.EVENTS].hold(7)
+        monitor.report(0.0)
+        monitor.report(0.3)
+        program.ledger[Account.EVENTS].release(7)
+    [(first, rejected), (second, late)] = records
+    assert (first, rejected["http_404"], rejected["http_503"], rejected["held_events"]) == (
+        "REJECTED",
+        1,
+        1,
+        7,
+    )
+    assert (second, late["delay_s"]) == ("LOOP", 0.3)
