--- a/sorreldock/program/monitor.py
+++ b/sorreldock/program/monitor.py
@@ -1,4 +1,4 @@
-"""The records, once a second at most, on what the router refuses, closes and holds, and on a late event loop."""
+"""The once-a-second records on what the router refuses, closes and holds, and on a late event loop."""
 
 from __future__ import annotations
 
