Wait for the first request of a client that connected before a stop

Cause: at the end of the linger all connections without a request were closed at once, also one that had just been opened and whose request was on its way. Class of bug: silence is taken for a proof that nothing was sent. Change: a connection that has sent nothing yet gets the second that a new client has during a drain. Evidence: the new test of tests/test_shutdown_and_cancellation.py fails before (no answer); 109 tests of the touched paths passed.

--- a/sorreldock/protocol/http/connection.py
+++ b/sorreldock/protocol/http/connection.py
@@ -111,8 +111,13 @@
         if self.is_closing:  # its last answer may be unread, and an immediate close could reset it
             return False
         idle = self.waiting is not None and not self.waiting.cancel_called
-        if self.waiting is not None:
-            self.waiting.cancel()
+        if self.waiting is None:
+            return False
+        if self.stage is Stage.SILENT:  # its first request may be on its way
+            first_byte_by = trio.current_time() + limits.DRAINING_FIRST_BYTE_TIMEOUT_S
+            self.waiting.deadline = min(self.waiting.deadline, first_byte_by)
+            return False
+        self.waiting.cancel()
         return idle
 
     @property
--- a/tests/test_shutdown_and_cancellation.py
+++ b/tests/test_shutdown_and_cancellation.py
@@ -527,3 +527,20 @@
         received = await all_of(stream)
         await stream.aclose()
     assert LONG_EVENT in received and received.endswith(LAST_CHUNK)
+
+
+@trio_test
+async def test_a_client_that_connected_before_a_stop_may_still_send_its_first_request() -> None:
+    server = ScriptedServer()
+    async with running_router(server) as router:
+        router.program.linger_s = 0.05
+        wire = await router.connect()
+        while not router.program.fronts["http"].clients:
+            await trio.sleep(0.005)
+        router.program.lifecycle.stop_requested.set()
+        while router.program.lifecycle.phase is not Phase.DRAINING:
+            await trio.sleep(0.005)
+        await let_tasks_run()
+        await wire.stream.send_all(raw())
+        received = await all_of(wire.stream)
+    assert received.startswith(b"HTTP/1.1 200") and b"connection: close" in received.lower()
