Soak: end an attempt of a slow reader when the router's close has arrived

The router's log has the first attempt cancelled 0.7 s after its start; its server read the request slowly and saw the close only behind it. Change: once such a server has read the whole request, the kernel's TCP state tells whether the router has closed; the attempt has ended then.

--- a/sorreldock/lab/soak/servers.py
+++ b/sorreldock/lab/soak/servers.py
@@ -15,6 +15,7 @@
 import h11
 import trio
 
+from ...transport.connection import closed_by_peer
 from .records import ReceivedAttempt, Records
 
 EVENT = b'data: {"n":%d}\n\n'
@@ -214,6 +215,10 @@
             if isinstance(event, h11.ConnectionClosed):
                 return False
         self.records.attempts.append(attempt)
+        if reads_slowly and closed_by_peer(stream.socket):
+            # The router had ended the attempt before the server read its last bytes from the kernel.
+            attempt.ended_at = attempt.received_at
+            return False
         try:
             return await self._answer(attempt, stream, parser)
         finally:
