Split the reading of request bodies from the HTTP connection

Change: http/body.py reads a body within its limits and is what gives way when memory is short; http/answers.py has the answers without the core. Behaviour, bounds and assertions are as they were; two tests of the program share their set-up.

--- a/sorreldock/protocol/front.py
+++ b/sorreldock/protocol/front.py
@@ -206,6 +206,10 @@
         request.reserved_bytes += count
         return True
 
+    def release_payload(self, count: int) -> None:
+        """Release memory of requests."""
+        self.payloads.release(count)
+
     async def wait_closed(self, within_s: float) -> None:
         """Wait until all answers are delivered, then at most `within_s` for the connections to end.
 
--- /dev/null
+++ b/sorreldock/protocol/http/body.py
@@ -0,0 +1,121 @@
+"""The bodies of requests: reading one within the limits on its size, its time and its memory."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from typing import Protocol
+
+import h11
+import trio
+
+from ...transport.blocks import BlockBuffer
+from ...transport.connection import ConnectionLost
+from .. import front as limits
+from ..partial_requests import PartialRequest, PartialRequests
+from .answers import CLOSE, ImmediateAnswer, PayloadRefused
+
+
+class MemoryForPayloads(Protocol):
+    """The part of a front that gives memory for requests."""
+
+    partial_requests: PartialRequests
+
+    def reserve_payload(self, request: PartialRequest, count: int) -> bool: ...
+
+    def release_payload(self, count: int) -> None: ...
+
+
+class RequestSource(Protocol):
+    """The connection from which a body is read."""
+
+    async def next_event(self) -> h11.Event | None:
+        """Return the next event of the request; None when the client has closed its sending side."""
+
+    def release_parsed(self) -> None:
+        """Release the memory of pipelined bytes that have been parsed."""
+
+    @property
+    def is_within_body(self) -> bool:
+        """Whether the end of the body has not been parsed yet."""
+
+
+class BodyReader:
+    """Reads the bodies of one connection, one after the other."""
+
+    def __init__(self, memory: MemoryForPayloads, source: RequestSource, now: float) -> None:
+        self._memory = memory
+        self._source = source
+        self._body = BlockBuffer()
+        self.reserved_bytes = 0
+        self.began_at = now
+        self._is_refused_for_memory = False
+        self._stall = trio.CancelScope()  # of the wait for more
+
+    async def read(self, length: bytes = b"0") -> BlockBuffer:
+        """Return the body of the request, whose Content-Length is `length`.
+
+        Raises the answer to a body that is too large, too slow or without memory.
+        """
+        expected_bytes = int(length) if length.isdigit() else 0
+        if expected_bytes > limits.MAX_BODY_BYTES:
+            raise ImmediateAnswer(413, "the body is larger than 256 KiB", (CLOSE,))
+        self._body, self._is_refused_for_memory = BlockBuffer(expected_bytes), False
+        self._memory.partial_requests.add(self)
+        try:
+            with trio.move_on_after(limits.BODY_TIMEOUT_S):
+                while await self._read_part():
+                    pass
+                # Not kept here, which would keep it in memory, uncounted, while the answer streams.
+                body, self._body = self._body, BlockBuffer()
+                return body
+        finally:
+            self._memory.partial_requests.remove(self)
+        raise ImmediateAnswer(408, "the body did not arrive in time", (CLOSE,))
+
+    async def _read_part(self) -> bool:
+        """Read more of the body, and return False at its end."""
+        with trio.move_on_after(limits.STALL_TIMEOUT_S) as self._stall:
+            event = await self._source.next_event()
+        if self._is_refused_for_memory:
+            raise PayloadRefused
+        if self._stall.cancelled_caught:
+            raise ImmediateAnswer(408, "the body does not go on", (CLOSE,))
+        if isinstance(event, h11.EndOfMessage):
+            return False
+        if not isinstance(event, h11.Data):
+            raise ConnectionLost("the client closed the connection within its body")
+        if len(self._body) + len(event.data) > limits.MAX_BODY_BYTES:
+            raise ImmediateAnswer(413, "the body is larger than 256 KiB", (CLOSE,))
+        self._source.release_parsed()
+        if not self._body.add(event.data, self._reserve):
+            raise PayloadRefused
+        return True
+
+    def _reserve(self, count: int) -> bool:
+        return self._memory.reserve_payload(self, count)
+
+    async def discard(self) -> None:
+        """Read the rest of a refused request's body, since further requests may follow it."""
+        self.drop()
+        with trio.move_on_after(limits.BODY_TIMEOUT_S), suppress(ImmediateAnswer):
+            while self._source.is_within_body:
+                with trio.move_on_after(limits.STALL_TIMEOUT_S) as stall:
+                    event = await self._source.next_event()
+                if stall.cancelled_caught or event is None:
+                    return
+                self._source.release_parsed()
+
+    def refuse_for_memory(self) -> None:
+        self._is_refused_for_memory = True
+        self.drop()
+        self._stall.cancel()
+
+    def drop(self) -> None:
+        """Drop what has been read, and release its memory."""
+        self._body.clear()
+        self.release()
+
+    def release(self) -> None:
+        """Release the memory budget of the body, which nobody needs any more."""
+        self._memory.release_payload(self.reserved_bytes)
+        self.reserved_bytes = 0
--- a/sorreldock/protocol/http/connection.py
+++ b/sorreldock/protocol/http/connection.py
@@ -25,7 +25,9 @@
 from ...transport.turns import Share
 from .. import front as limits
 from ..front import Front
+from .answers import CLOSE, ImmediateAnswer, PayloadRefused
 from .arrivals import Arrivals
+from .body import BodyReader
 from .closing import Closing
 from .fields import (
     SERVED_PATH,
@@ -42,7 +44,6 @@
 MAX_PIPELINED_BYTES = limits.MAX_BODY_BYTES + MAX_HEAD_BYTES
 IDLE_TIMEOUT_S = 5.0  # between requests; the platform requires 2 s, and clients reconnect after a close
 MAX_UNREAD_BYTES = 1024 * 1024  # that the kernel is asked to hold for a client that sends too far ahead
-CLOSE = (b"connection", b"close")
 STREAM_HEAD = [(b"content-type", b"text/event-stream"), (b"cache-control", b"no-cache")]
 
 
@@ -50,21 +51,6 @@
     """The client has not read its answer for too long."""
 
 
-class ImmediateAnswer(Exception):
-    """Raised to answer a request with a plain status and text, without the core."""
-
-    def __init__(self, status: int, text: str, headers: tuple[tuple[bytes, bytes], ...] = ()) -> None:
-        super().__init__(text)
-        self.status, self.text, self.headers = status, text, headers
-
-
-class PayloadRefused(ImmediateAnswer):
-    """Raised to refuse a request whose body does not fit into memory, and to discard the rest of the body."""
-
-    def __init__(self) -> None:
-        super().__init__(503, "too many large requests", ((b"retry-after", b"1"),))
-
-
 class ClientConnection:
     """The actor of one client connection, and the sink of its current RPC."""
 
@@ -88,11 +74,8 @@
         self.connected_at = trio.current_time()
         self.stage, self.since = Stage.SILENT, self.connected_at
         self.has_sent_request = self.is_closing = False
-        self.reserved_bytes = self.pipelined_bytes = 0
-        self.body = BlockBuffer()  # of the request that is being received
-        self.began_at = self.connected_at  # when its first byte was received
-        self.is_refused_for_memory = False
-        self.stall = trio.CancelScope()  # of the wait for more of it
+        self.pipelined_bytes = 0
+        self.body = BodyReader(front, self, self.connected_at)
         self.arrivals = Arrivals(self.connected_at)
         self.final: FinalAnswer | None = None
         self.finished = trio.Event()
@@ -126,16 +109,9 @@
 
     def evict(self) -> None:
         self.connection.close()
-        self.body.clear()
-        self.release_body()
+        self.body.drop()
         self.set_stage(Stage.ANSWERING)  # takes it out of the eviction queue
 
-    def refuse_for_memory(self) -> None:
-        self.is_refused_for_memory = True
-        self.body.clear()
-        self.release_body()
-        self.stall.cancel()
-
     def set_stage(self, stage: Stage) -> None:
         """Enter a stage now, and update the eviction queue."""
         self.stage, self.since = stage, trio.current_time()
@@ -151,7 +127,7 @@
         parts: list[bytes] = []
         if not self.head_sent:
             self.head_sent = True
-            self.release_body()
+            self.body.release()
             parts.append(
                 self.encode(h11.Response(status_code=200, headers=[*STREAM_HEAD, *self.connection_fields()]))
             )
@@ -192,11 +168,6 @@
         """Whether a clean close would end the answer that has begun like a complete one (RFC 9112, 6.3)."""
         return self.head_sent and self.parser.their_http_version == b"1.0"
 
-    def release_body(self) -> None:
-        """Release the memory budget of the request's body."""
-        self.front.payloads.release(self.reserved_bytes)
-        self.reserved_bytes = 0
-
     def release_pipelined(self, left: int = 0) -> None:
         """Release the memory budget of pipelined bytes, of which `left` are not parsed yet."""
         released = max(self.pipelined_bytes - left, 0)
@@ -227,7 +198,7 @@
                     self.front.rejections[f"http_{answer.status}"] += 1
                     await self.answer(answer.status, answer.text, answer.headers)
                 finally:
-                    self.release_body()
+                    self.body.release()
                 if self.parser.our_state is not h11.DONE or self.parser.their_state is not h11.DONE:
                     await self.close_gracefully()
                     return
@@ -332,7 +303,7 @@
             await self.front.turns.wait(self.share)
         if self.connection.closed_by_peer:  # what it sent before has nobody left to answer
             return None
-        self.began_at = trio.current_time()
+        self.body.began_at = trio.current_time()
         with trio.move_on_at(head_deadline):
             request = await self.next_event()
             return request if isinstance(request, h11.Request) else None
@@ -395,64 +366,24 @@
         if request.method != method:
             raise ImmediateAnswer(405, "method not allowed", ((b"allow", method),))
 
-    async def read_body(self, length: bytes = b"0") -> BlockBuffer:
-        """Return the body of the request, whose Content-Length is `length`."""
-        expected_bytes = int(length) if length.isdigit() else 0
-        if expected_bytes > limits.MAX_BODY_BYTES:
-            raise ImmediateAnswer(413, "the body is larger than 256 KiB", (CLOSE,))
-        self.body, self.is_refused_for_memory = BlockBuffer(expected_bytes), False
-        self.front.partial_requests.add(self)
-        try:
-            with trio.move_on_after(limits.BODY_TIMEOUT_S):
-                while await self.read_body_part():
-                    pass
-                self.set_stage(Stage.ANSWERING)
-                return self.take_body()
-        finally:
-            self.front.partial_requests.remove(self)
-        raise ImmediateAnswer(408, "the body did not arrive in time", (CLOSE,))
-
-    async def read_body_part(self) -> bool:
-        """Read more of the body, and return False at its end."""
-        with trio.move_on_after(limits.STALL_TIMEOUT_S) as self.stall:
-            event = await self.next_event()
-        if self.is_refused_for_memory:
-            raise PayloadRefused
-        if self.stall.cancelled_caught:
-            raise ImmediateAnswer(408, "the body does not go on", (CLOSE,))
-        if isinstance(event, h11.EndOfMessage):
-            return False
-        if not isinstance(event, h11.Data):
-            raise ConnectionLost("the client closed the connection within its body")
-        if len(self.body) + len(event.data) > limits.MAX_BODY_BYTES:
-            raise ImmediateAnswer(413, "the body is larger than 256 KiB", (CLOSE,))
+    def release_parsed(self) -> None:
         if self.pipelined_bytes:
             self.release_pipelined(len(self.parser.trailing_data[0]))
-        if not self.body.add(event.data, self.reserve_payload):
-            raise PayloadRefused
-        return True
 
-    def reserve_payload(self, count: int) -> bool:
-        """Reserve memory for more of the body, and return whether that succeeded."""
-        return self.front.reserve_payload(self, count)
+    @property
+    def is_within_body(self) -> bool:
+        return self.parser.their_state is h11.SEND_BODY
 
-    def take_body(self) -> BlockBuffer:
-        """Return the received body, which this connection no longer refers to."""
-        body, self.body = self.body, BlockBuffer()
+    async def read_body(self, length: bytes = b"0") -> BlockBuffer:
+        """Return the body of the request, whose Content-Length is `length`."""
+        body = await self.body.read(length)
+        self.set_stage(Stage.ANSWERING)
         return body
 
     async def discard_body(self) -> None:
-        """Read the rest of a refused request's body, since further requests may follow it."""
-        self.body.clear()
-        self.release_body()
+        """Read the rest of a refused request's body."""
         self.set_stage(Stage.IDLE)
-        with trio.move_on_after(limits.BODY_TIMEOUT_S), suppress(ImmediateAnswer):
-            while self.parser.their_state is h11.SEND_BODY:
-                with trio.move_on_after(limits.STALL_TIMEOUT_S) as stall:
-                    event = await self.next_event()
-                if stall.cancelled_caught or event is None:
-                    return
-                self.release_pipelined(len(self.parser.trailing_data[0]))
+        await self.body.discard()
 
     async def handle_rpc(self, request: h11.Request) -> None:
         """Submit the RPC of a request to the core, and write its answer."""
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -240,6 +240,21 @@
         assert await process.wait() == 0
 
 
+async def run_until_stopped(code: str, environment: dict[str, str], awaited: bytes) -> None:
+    """Run a program that serves, and stop it once its log has a text; it has to end with status 0."""
+    process = await trio.lowlevel.open_process(
+        [sys.executable, "-B", "-c", code],
+        cwd=ROOT,
+        stderr=subprocess.PIPE,
+        env={**os.environ, **environment},
+    )
+    await read_log_until(process, b"", awaited)
+    process.send_signal(signal.SIGTERM)
+    async for _ in process.stderr:
+        pass
+    assert await process.wait() == 0
+
+
 @trio_test
 async def test_sighup_before_the_handler_is_installed_reloads_later(tmp_path: Path) -> None:
     code = (
@@ -254,17 +269,7 @@
         "sys.argv = ['sorreldock', 'serve']\n"
         "runpy.run_module('sorreldock', run_name='__main__')\n"
     )
-    process = await trio.lowlevel.open_process(
-        [sys.executable, "-B", "-c", code],
-        cwd=ROOT,
-        stderr=subprocess.PIPE,
-        env={**os.environ, **write_config(tmp_path)},
-    )
-    await read_log_until(process, b"", b"reloaded the configuration")
-    process.send_signal(signal.SIGTERM)
-    async for _ in process.stderr:
-        pass
-    assert await process.wait() == 0
+    await run_until_stopped(code, write_config(tmp_path), b"reloaded the configuration")
 
 
 @trio_test
@@ -280,17 +285,7 @@
         "sys.argv = ['sorreldock', 'serve']\n"
         "runpy.run_module('sorreldock', run_name='__main__')\n"
     )
-    process = await trio.lowlevel.open_process(
-        [sys.executable, "-B", "-c", code],
-        cwd=ROOT,
-        stderr=subprocess.PIPE,
-        env={**os.environ, **write_config(tmp_path)},
-    )
-    await read_log_until(process, b"", b"serving")
-    process.send_signal(signal.SIGTERM)
-    async for _ in process.stderr:
-        pass
-    assert await process.wait() == 0
+    await run_until_stopped(code, write_config(tmp_path), b"serving")
 
 
 @trio_test
