--- a/sorreldock/protocol/http/connection.py
+++ b/sorreldock/protocol/http/connection.py
@@ -18,7 +18,7 @@
     Overloaded,
     SinkClosed,
 )
-from ...transport.admission import Stage
+from ...transport.admission import STAGE_TIMEOUT_S, Stage
 from ...transport.blocks import BlockBuffer
 from ...transport.close_watch import CloseWatch
 from ...transport.connection import Connection, ConnectionLost
@@ -97,7 +97,7 @@
         if self.waiting is None:
             return False
         if self.stage is Stage.SILENT:  # its first request may be on its way
-            first_byte_by = trio.current_time() + limits.DRAINING_FIRST_BYTE_TIMEOUT_S
+            first_byte_by = self.connected_at + STAGE_TIMEOUT_S[Stage.SILENT]
             self.waiting.deadline = min(self.waiting.deadline, first_byte_by)
             return False
         self.waiting.cancel()
