--- a/sorreldock/lab/hostile/report.py
+++ b/sorreldock/lab/hostile/report.py
@@ -41,15 +41,22 @@
     from matplotlib import pyplot
 
     figure, (memory, latency) = pyplot.subplots(2, 1, sharex=True, figsize=(9, 7), layout="constrained")
+    pictures = sorted({row["picture"] for row in rows})
     for key in sorted({(row["picture"], row["protocol"], row["memory_mb"]) for row in rows}):
+        style: dict[str, Any] = {
+            "color": f"C{pictures.index(key[0])}",
+            "linestyle": "--" if key[1] == "grpc" else "-",
+            "marker": "o",
+        }
         series = sorted(
             (row["clients"], row["resident_mb"], row["p99_ms"])
             for row in rows
             if (row["picture"], row["protocol"], row["memory_mb"]) == key
         )
         label = f"{key[0]}, {key[1]}, {key[2]} MB"
-        memory.plot([point[0] for point in series], [point[1] for point in series], marker="o", label=label)
-        latency.plot([point[0] for point in series], [point[2] for point in series], marker="o", label=label)
+        clients = [point[0] for point in series]
+        memory.plot(clients, [point[1] for point in series], label=label, **style)
+        latency.plot(clients, [point[2] for point in series], label=label, **style)
     memory.set_ylabel("peak resident memory, MB")
     latency.set_ylabel("p99 of honest requests, ms")
     latency.set_xlabel("hostile clients")
