--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -25,6 +25,12 @@
     assert verdict.requests > 200 and verdict.served > 0.5 * verdict.requests
 
 
+def test_router_processes_hold_the_rules_and_their_memory_limit_under_crowds_and_faults() -> None:
+    soak = Soak(seed=13, routers=4, servers=30, span_s=12.0, faults_per_s=2.0, has_crowd=True, memory_mb=96)
+    verdict = checked(run_soak(soak))
+    assert FaultKind.CROWD in {fault.kind for fault in verdict.plan} and verdict.requests > 100
+
+
 def test_a_plan_depends_on_its_seed_and_its_faults_overlap() -> None:
     plan = draw_plan(3, 60.0, 2.0, has_crowd=True)
     assert plan == draw_plan(3, 60.0, 2.0, has_crowd=True) != draw_plan(4, 60.0, 2.0, has_crowd=True)
