Soak: count no notice as written to a router's process that has ended

The first write to a closed connection succeeds, and the rig took it for told. Change: a write counts only while the kernel has no close of the reader.

--- a/sorreldock/lab/soak/servers.py
+++ b/sorreldock/lab/soak/servers.py
@@ -168,20 +168,23 @@
         await stream.send_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
         sent_revision = self.revision
         await stream.send_all(_chunk(json.dumps(self.full_list()).encode() + b"\n"))
-        self._record_notification(router)
+        self._record_notification(router, stream)
         while True:
             changed = self._changed
             while sent_revision < self.revision:
                 sent_revision += 1
                 changes = {"rev": sent_revision, "all": False, "targets": self._changes[sent_revision]}
                 await stream.send_all(_chunk(json.dumps(changes).encode() + b"\n"))
-                self._record_notification(router)
+                self._record_notification(router, stream)
             with trio.move_on_after(KEEPALIVE_INTERVAL_S) as timeout:
                 await changed.wait()
             if timeout.cancelled_caught:
                 await stream.send_all(_chunk(b"\n"))
 
-    def _record_notification(self, router: str) -> None:
+    def _record_notification(self, router: str, stream: trio.SocketStream) -> None:
+        """Record what has been written, unless the process that would have read it has ended."""
+        if closed_by_peer(stream.socket):
+            return
         now = trio.current_time()
         for server in self.records.withdrawn_at:
             self.records.notified_at.setdefault((router, server), now)
