Weigh turns by what they bring, and let half of the memory be counted

Cause: a write of four small events cost an honest request as many turns as four reads of 16 KiB cost a flood; and 64 MB left 0.5 MB beside the peak of slow readers of large events (63.5 resident). Change: a read counts one turn and another for each 4 KiB that it brings, a write of events a quarter and one for each 16 KiB. The ledger's limit is half of memory_mb less 36 MB (three fifths before), with the payloads' share as many bytes as before.

--- a/sorreldock/program/serve.py
+++ b/sorreldock/program/serve.py
@@ -40,11 +40,11 @@
 LINGER_S = 0.5  # clients still connect for this long after SIGTERM, and are accepted
 TRIM_INTERVAL_S = 5.0
 # Bounds that keep the process below its memory limit. The program itself takes about PROGRAM_MB; of the rest,
-# three fifths may be held for peers by the ledger's count. The remainder is for what it does not count: the
+# half may be held for peers by the ledger's count. The remainder is for what it does not count: the
 # allocator's unused memory, servers' connections and short-lived copies.
 PROGRAM_MB = 36
-LEDGER_SHARE = 0.6
-MIN_LEDGER_MB, MAX_LEDGER_MB = 3, 60
+LEDGER_SHARE = 0.5
+MIN_LEDGER_MB, MAX_LEDGER_MB = 2.5, 50
 OPEN_RPCS_PER_MB, MIN_OPEN_RPCS = 4, 64
 # A server accepts a few hundred connections from all routers together; at most this many may be idle.
 IDLE_CONNECTIONS_PER_SERVER, MIN_IDLE_CONNECTIONS = 240, 4
--- a/sorreldock/protocol/front.py
+++ b/sorreldock/protocol/front.py
@@ -38,7 +38,10 @@
 DRAINING_FIRST_BYTE_TIMEOUT_S = 1.0  # for the first byte or stream of a new client while draining
 CLOSE_POLL_S = 0.01
 MAX_UNSENT_BYTES = 64 * 1024  # of an answer in the kernel, beyond what is on its way
-BYTES_PER_TURN = 16 * 1024  # more of an answer at once counts as more turns
+# The costs of turns: a read counts 1 and more for what it brings, a write of events little.
+READ_BYTES_PER_TURN = 4 * 1024
+WRITE_BYTES_PER_TURN = 16 * 1024
+WRITE_COST = 0.25
 MIN_EXPIRES_IN_S = 0.001  # for a request whose deadline has passed; the decision module then fails it
 MAX_EVICTED_AT_ONCE = 8  # connections closed in one step, if their time limits have passed
 
--- a/sorreldock/protocol/http/connection.py
+++ b/sorreldock/protocol/http/connection.py
@@ -74,6 +74,7 @@
         self.connected_at = trio.current_time()
         self.stage, self.since = Stage.SILENT, self.connected_at
         self.has_sent_request = self.is_closing = False
+        self.is_waiting_for_turn = False  # with a request, or a part of one, in the parser
         self.pipelined_bytes = 0
         self.body = BodyReader(front, self.connected_at)
         self.arrivals = Arrivals(self.connected_at)
@@ -105,7 +106,7 @@
 
     @property
     def readable(self) -> bool:
-        return self.connection.readable or bool(self.parser.trailing_data[0])
+        return self.connection.readable or self.is_waiting_for_turn
 
     def evict(self) -> None:
         self.connection.close()
@@ -121,7 +122,7 @@
 
     async def send_events(self, *events: bytes) -> None:
         size = sum(map(len, events))
-        await self.front.turns.wait(self.share, 1.0 + size / limits.BYTES_PER_TURN)
+        await self.front.turns.wait(self.share, limits.WRITE_COST + size / limits.WRITE_BYTES_PER_TURN)
         if self.final is not None:
             raise SinkClosed
         parts: list[bytes] = []
@@ -300,7 +301,9 @@
             head_deadline = trio.current_time() + limits.HEAD_TIMEOUT_S
         self.has_sent_request = True
         if self.parser.trailing_data[0]:  # received already, so that no read waits for a turn
+            self.is_waiting_for_turn = True
             await self.front.turns.wait(self.share)
+            self.is_waiting_for_turn = False
         if self.connection.closed_by_peer:  # what it sent before has nobody left to answer
             return None
         self.body.began_at = trio.current_time()
@@ -331,6 +334,7 @@
                 if self.parser.they_are_waiting_for_100_continue:
                     await self.write(self.encode(h11.InformationalResponse(status_code=100, headers=[])))
                 data = await self.connection.receive()
+                self.share.charge(len(data) / limits.READ_BYTES_PER_TURN)
                 self.since = trio.current_time()
                 self.front.queue.add(self)
                 self.arrivals.add(len(data), self.since - self.connection.last_arrival_age_s())
@@ -436,7 +440,9 @@
                     self.connection.enlarge_receive_buffer(MAX_UNREAD_BYTES)
                     await self.close_watch.wait_closed(self.connection)
                     break
-                self.parser.receive_data(await self.connection.receive())
+                data = await self.connection.receive()
+                self.share.charge(len(data) / limits.READ_BYTES_PER_TURN)
+                self.parser.receive_data(data)
         except ConnectionLost as error:
             reason = str(error)
         self.front.core.cancel_rpc(rpc, reason)
--- a/sorreldock/protocol/kserve/call.py
+++ b/sorreldock/protocol/kserve/call.py
@@ -61,7 +61,9 @@
     async def send_events(self, *events: bytes) -> None:
         """Send messages with their length prefixes."""
         size = sum(map(len, events))
-        await self.client.front.turns.wait(self.client.share, 1.0 + size / limits.BYTES_PER_TURN)
+        await self.client.front.turns.wait(
+            self.client.share, limits.WRITE_COST + size / limits.WRITE_BYTES_PER_TURN
+        )
         if self.final is not None or self.reset:
             raise SinkClosed
         self.release_payload()  # an answer has started: the core no longer holds the payload
--- a/sorreldock/transport/ledger.py
+++ b/sorreldock/transport/ledger.py
@@ -23,7 +23,7 @@
 SHARES = {
     Account.CONNECTIONS: 0.6,
     Account.STREAMS: 0.4,
-    Account.PAYLOADS: 2 / 3,
+    Account.PAYLOADS: 0.8,
     Account.EVENTS: 0.4,
 }
 
--- a/sorreldock/transport/turns.py
+++ b/sorreldock/transport/turns.py
@@ -23,6 +23,10 @@
     def __init__(self) -> None:
         self.finish = 0.0  # the virtual time at which its last turn ends
 
+    def charge(self, cost: float) -> None:
+        """Count further work in the last turn, whose size was not known before."""
+        self.finish += cost
+
 
 class Turns:
     """The queue of the connections that wait for a turn."""
