Answer a health check whose client has closed its sending side

A router whose health check gets no answer takes no clients. Change: only further requests on a connection are dropped for a close, and the listener starts a task for each connection again; the core already sends no RPC of a client that has left. Evidence: the new test of tests/test_bounds.py fails before.

--- a/sorreldock/protocol/http/connection.py
+++ b/sorreldock/protocol/http/connection.py
@@ -297,14 +297,16 @@
             ):
                 return None
         self.set_stage(Stage.PARTIAL)
-        if self.has_sent_request:
+        is_later_request, self.has_sent_request = self.has_sent_request, True
+        if is_later_request:
             head_deadline = trio.current_time() + limits.HEAD_TIMEOUT_S
-        self.has_sent_request = True
         if self.parser.trailing_data[0]:  # received already, so that no read waits for a turn
             self.is_waiting_for_turn = True
             await self.front.turns.wait(self.share)
             self.is_waiting_for_turn = False
-        if self.connection.closed_by_peer:  # what it sent before has nobody left to answer
+        # The client of a first request may have closed its sending side alone, as simple health checks do. The
+        # core checks for the client of an RPC before it is sent.
+        if is_later_request and self.connection.closed_by_peer:
             return None
         self.body.began_at = trio.current_time()
         with trio.move_on_at(head_deadline):
--- a/sorreldock/transport/listener.py
+++ b/sorreldock/transport/listener.py
@@ -10,7 +10,7 @@
 import trio
 
 from .budget import DescriptorBudget, Use
-from .connection import Connection, closed_by_peer, split_address
+from .connection import Connection, split_address
 from .failures import is_resource_shortage, retry_transient
 from .system import REAL_SYSTEM, System
 
@@ -137,10 +137,6 @@
         except trio.Cancelled:
             self._budget.release(Use.CLIENT)
             raise
-        if closed_by_peer(sock):  # a client that has left already gets no task
-            sock.close()
-            self._budget.release(Use.CLIENT)
-            return True
         connection = Connection(sock, lambda: self._budget.release(Use.CLIENT), self._wait_readable)
         nursery.start_soon(self._handle_and_close, handle, connection)
         return True
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -311,3 +311,16 @@
             assert ended and [reference for reference in ended if reference() is not None] == []
         finally:
             gc.enable()
+
+
+@trio_test
+async def test_a_health_check_whose_client_has_closed_its_sending_side_is_answered() -> None:
+    async with running_router(ScriptedServer()) as router:
+        assert (await router.post()).whole  # the router listens
+        host, port = router.address.rsplit(":", 1)
+        client = socket.create_connection((host, int(port)))
+        client.sendall(b"GET /up HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        client.shutdown(socket.SHUT_WR)  # nothing has been read: this thread runs the router
+        client.setblocking(False)
+        async with trio.SocketStream(trio.socket.from_stdlib_socket(client)) as stream:
+            assert (await all_of(stream)).startswith(b"HTTP/1.1 200")
