--- a/sorreldock/protocol/http/connection.py
+++ b/sorreldock/protocol/http/connection.py
@@ -304,7 +304,7 @@
             self.is_waiting_for_turn = True
             await self.front.turns.wait(self.share)
             self.is_waiting_for_turn = False
-        # The client of a first request may have closed its sending side alone, as simple health checks do. The
+        # The client of a first request may have closed its sending side alone, as some health checks do. The
         # core checks for the client of an RPC before it is sent.
         if is_later_request and self.connection.closed_by_peer:
             return None
