Name the fixture of the pictures so that no test's parameter has its name

Cause: tests/test_repeated_names.py has a parameter named runs, so the fixture took that file's tests for its own in a run of the whole suite, and all 18 pictures ended with a KeyError.

--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -28,9 +28,9 @@
 
 
 @pytest.fixture(scope="module")
-def runs(request: pytest.FixtureRequest) -> Iterator[Runs]:
+def picture_runs(request: pytest.FixtureRequest) -> Iterator[Runs]:
     """Play the pictures of the selected tests, some at a time."""
-    chosen = [item.callspec.params for item in request.session.items if "runs" in item.fixturenames]
+    chosen = [item.callspec.params for item in request.session.items if "picture_runs" in item.fixturenames]
     with ThreadPoolExecutor(PARALLEL_RUNS) as pool:
         yield {
             (p["picture"], p["protocol"]): pool.submit(
@@ -48,6 +48,6 @@
 @pytest.mark.parametrize("protocol", Protocol, ids=lambda protocol: protocol.value)
 @pytest.mark.parametrize("picture", CLIENTS, ids=lambda picture: picture.value)
 def test_hostile_clients_neither_exceed_the_memory_limit_nor_delay_honest_ones(
-    picture: Picture, protocol: Protocol, runs: Runs
+    picture: Picture, protocol: Protocol, picture_runs: Runs
 ) -> None:
-    check(runs[picture, protocol].result())
+    check(picture_runs[picture, protocol].result())
