--- a/sorreldock/lab/simulation/mutants.py
+++ b/sorreldock/lab/simulation/mutants.py
@@ -211,7 +211,7 @@
     "no-silence-timer": Mutant(
         "the timer for silent servers never fires",
         "rest",
-        lambda: [(server_client, "EVENT_GAP_TIMEOUT_S", 1e9), (server_client, "FIRST_EVENT_TIMEOUT_S", 1e9)],
+        lambda: [(server_client, "EVENT_GAP_TIMEOUT_S", 1e9), (server_client, "OPENING_TIME_SHARE", 1e9)],
     ),
     "keeps-idle": Mutant(
         "idle connections are not closed at the program's end",
--- a/sorreldock/protocol/kserve/client.py
+++ b/sorreldock/protocol/kserve/client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager, suppress
 from functools import partial
@@ -10,7 +9,6 @@
 import h2.errors
 import h2.events
 import h2.exceptions
-import trio
 from google.protobuf.message import DecodeError
 
 from ...completeness import check_grpc_answer
@@ -67,7 +65,6 @@
         self.trailers: Headers = []
         self.has_trailers = False
         self.messages = 0  # whole ones so far
-        self._received_at = -math.inf  # when the last bytes of messages were received
         self.ended = False
 
     async def step(self) -> None:
@@ -101,7 +98,6 @@
             case h2.events.DataReceived():
                 self.deframer.feed(event.data or b"")
                 self.holding.hold(len(event.data or b""))
-                self._received_at = trio.current_time()
                 self.connection.wire.acknowledge(self.number, event.flow_controlled_length or 0)
             case h2.events.StreamEnded():
                 self.ended = True
@@ -111,9 +107,29 @@
                 if not self.ended:
                     raise ConnectionLost(f"stream reset with error {event.error_code}")
 
-    def partial_received_at(self) -> float:
-        """Return when the last bytes of an incomplete message were received; -inf if there is none."""
-        return self._received_at if self.deframer.partial else -math.inf
+    @property
+    def completed_events(self) -> int:
+        """How many messages are complete."""
+        return self.messages - self.deframer.has_begun
+
+    @property
+    def awaited(self) -> str:
+        """What the server has to complete next, for the log."""
+        return f"the next message or the trailers, {len(self.deframer)} bytes of a message received"
+
+    async def wait_until_begun(self) -> None:
+        """Wait until a part of the first message has been received, or the answer has ended."""
+        with translate_errors():
+            while not self.deframer.partial and not self.ended:
+                await self.step()
+
+    async def next_parts(self) -> list[bytes]:
+        """Return the next message; nothing at the end of the answer. May be cancelled and called again."""
+        with translate_errors():
+            message = await self.next_message()
+        if self.is_unary and self.messages > 1:
+            raise ServerProtocolError("a unary answer with two messages")
+        return [] if message is None else [message]
 
     def receive_trailers(self, fields: Iterable[tuple[object, object]]) -> None:
         """Keep the trailers; a status in other header fields is not that of the answer."""
@@ -152,8 +168,6 @@
         """Return the next message of the answer with its prefix, or a part of it if memory is short.
 
         None at the end of the answer. May be cancelled and called again.
-
-        Once part of a message has arrived, the rest must follow within a limit.
         """
         while True:
             is_continued = self.deframer.has_begun
@@ -167,11 +181,7 @@
                 if self.deframer.partial:
                     raise ConnectionLost("the last message is incomplete")
                 return None
-            limit_s = server_client.FIRST_EVENT_TIMEOUT_S if self.deframer.partial else math.inf
-            with trio.move_on_after(limit_s) as rest:
-                await self.step()
-            if rest.cancelled_caught:
-                raise ConnectionLost("the rest of a message did not arrive")
+            await self.step()
 
     def status(self) -> tuple[int, str]:
         """Return the status code and message of the answer."""
@@ -257,26 +267,13 @@
             exchange.holding.release_all()
 
     async def _forward_answer(self, exchange: Exchange, progress: AttemptProgress) -> AttemptResult:
-        message = await self._next_message(exchange)
-        has_started = message is not None
-        while message is not None:
-            if exchange.is_unary and exchange.messages > 1:
-                raise ServerProtocolError("a unary answer with two messages")
-            await progress.forward_events(message)
-            exchange.holding.release(len(message))
-            message = await self.read_within_event_gap(
-                progress, partial(self._next_message, exchange), exchange.partial_received_at
-            )
+        await self.forward_answer(exchange, progress)
+        has_started = exchange.messages > 0
         result = self._result_of(exchange, has_started)
         if result.status is Status.OK and exchange.status()[0] == Code.OK:
             exchange.check_complete()
         return result
 
-    @staticmethod
-    async def _next_message(exchange: Exchange) -> bytes | None:
-        with translate_errors():
-            return await exchange.next_message()
-
     @staticmethod
     def _result_of(exchange: Exchange, has_started: bool) -> AttemptResult:
         code, text = exchange.status()
--- a/sorreldock/protocol/server_client.py
+++ b/sorreldock/protocol/server_client.py
@@ -2,33 +2,32 @@
 
 from __future__ import annotations
 
+import math
 from abc import ABC, abstractmethod
-from collections.abc import Awaitable, Callable
-from typing import Generic, TypeVar
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Generic, Protocol, TypeVar
 
 import trio
 
+from ..chunked import MAX_BODY_BYTES
 from ..completeness import IncompleteAnswer
 from ..interface import Status
 from ..routing.types import RPC, AttemptProgress, AttemptResult
 from ..transport.connection import ConnectionLost, DialFailed, LocalShortage, NoListener
+from ..transport.ledger import Holding
 from ..transport.pool import ConnectionPool, PooledConnection
 
-# The time without an event after which a response stream counts as broken. Without it clients would wait
-# for ever for a server whose machine has failed, since it sends no reset. The platform lets a client wait
-# for 5 s, of which the program may be held up for 0.15 s.
+# The time without a complete event after which the response stream counts as broken. The platform lets a
+# client wait for 5 s since a server's last event, of which the program may be held up for 0.15 s.
 EVENT_GAP_TIMEOUT_S = 4.85
 # The same for a server that discovery no longer lists or whose machine refuses connections.
 GONE_EVENT_GAP_TIMEOUT_S = 3.5
 PROBE_TIMEOUT_S = 0.25
-# The time from the first byte of an answer to its first whole event, which servers send together with the
-# head. Without this limit an incomplete head or part of an event on a connection that stays open would use up
-# the request's whole time, with none left for another attempt.
-FIRST_EVENT_TIMEOUT_S = 1.0
-# An event that is being received extends these times for as long as each span of FIRST_EVENT_TIMEOUT_S brings
-# a part of it, up to this time for the whole event.
-EVENT_TIMEOUT_S = 30.0
-MAX_EVENT_BYTES = 128 * 1024
+# An answer whose head or first event has begun must complete it within this share of the time that is then
+# left, so that the rest is left for another attempt. Without another one, it has all of the time.
+OPENING_TIME_SHARE = 0.5
+MAX_EVENT_BYTES = MAX_BODY_BYTES
 # When the ledger is full, what has been received of a longer event is forwarded before the event is whole.
 MIN_PART_BYTES = 16 * 1024
 
@@ -48,28 +47,44 @@
     return Status.NO_LISTENER if isinstance(error, NoListener) else Status.CONNECT_FAILED
 
 
-T = TypeVar("T")
 ConnectionT = TypeVar("ConnectionT", bound=PooledConnection)
 ExchangeT = TypeVar("ExchangeT")
 
 
-async def read_while_received(
-    read: Callable[[], Awaitable[T]], timeout_s: float, received_at: Callable[[], float]
-) -> T:
-    """Return what `read` returns; raise ConnectionLost when it takes too long.
+class Answer(Protocol):
+    """An answer that is being read from a server."""
 
-    `read` has `timeout_s`, which is extended while parts of what it reads arrive;
-    `received_at` returns when the last part came. `read` is started anew each time.
-    """
-    began_at = trio.current_time()
-    deadline = began_at + timeout_s
-    while True:
-        with trio.move_on_at(deadline):
-            return await read()
-        extended = min(received_at() + FIRST_EVENT_TIMEOUT_S, began_at + EVENT_TIMEOUT_S)
-        if extended <= trio.current_time():
-            raise ConnectionLost("no event in time within the stream")
-        deadline = extended
+    holding: Holding
+
+    @property
+    def completed_events(self) -> int:
+        """A count that grows with each read that completes an event.
+
+        Parts of events, events without data and what follows the protocol's last event don't count.
+        """
+
+    async def next_parts(self) -> list[bytes]:
+        """Return the next events, or a part of one if memory is short; nothing at the end of the answer.
+
+        May be cancelled and called again.
+        """
+
+    async def wait_until_begun(self) -> None:
+        """Wait until a part of the first event has been received, or the answer has ended."""
+
+    @property
+    def awaited(self) -> str:
+        """What the server has to complete next, for the log."""
+
+
+@contextmanager
+def opening_time_limit(has_other_attempt: bool, awaited: str) -> Iterator[None]:
+    """Limit the time for an element that has begun; raise ConnectionLost if it is not complete by then."""
+    left_s = trio.current_effective_deadline() - trio.current_time()
+    with trio.move_on_after(OPENING_TIME_SHARE * left_s if has_other_attempt else math.inf) as scope:
+        yield
+    if scope.cancelled_caught:
+        raise ConnectionLost(f"not completed in time: {awaited}")
 
 
 class PooledServerClient(ABC, Generic[ConnectionT, ExchangeT]):
@@ -100,20 +115,35 @@
     async def send_probe(self, connection: ConnectionT) -> AttemptResult:
         """Send a probe and return its result, with the load report of the server."""
 
-    async def read_within_event_gap(
-        self, progress: AttemptProgress, read: Callable[[], Awaitable[T]], received_at: Callable[[], float]
-    ) -> T:
-        """Return what `read` returns, the next part of a stream; raise ConnectionLost when it takes too long.
-
-        `read` is started anew if it is cancelled, so it must keep what it has read. `received_at` returns
-        when the last bytes of an incomplete part were received, -inf without one.
-        """
-        with trio.move_on_after(min(GONE_EVENT_GAP_TIMEOUT_S, EVENT_GAP_TIMEOUT_S)):
-            return await read()
-        timeout_s = max(EVENT_GAP_TIMEOUT_S - GONE_EVENT_GAP_TIMEOUT_S, 0.0)
-        if self._refuses_connections or progress.is_server_removed():
-            timeout_s = 0.0
-        return await read_while_received(read, timeout_s, received_at)
+    async def forward_answer(self, answer: Answer, progress: AttemptProgress) -> None:
+        """Forward an answer to its end; raise ConnectionLost if it does not go on in time."""
+        await answer.wait_until_begun()  # bounded by the caller's deadline alone
+        with opening_time_limit(progress.may_be_repeated(), "the first event"):
+            parts = await answer.next_parts()
+        waiting_since = trio.current_time()
+        completed_events = 0
+        while parts:
+            began_at = trio.current_time()
+            await progress.forward_events(*parts)
+            answer.holding.release(sum(map(len, parts)))
+            now = trio.current_time()
+            has_progress = answer.completed_events > completed_events
+            completed_events = answer.completed_events
+            # The time in which the client reads slowly is not the server's.
+            waiting_since = now if has_progress else waiting_since + (now - began_at)
+            parts = await self._read_next_parts(answer, progress, waiting_since)
+
+    async def _read_next_parts(
+        self, answer: Answer, progress: AttemptProgress, waiting_since: float
+    ) -> list[bytes]:
+        """Return the next parts of an answer whose next complete event is awaited since `waiting_since`."""
+        gone_at = waiting_since + min(GONE_EVENT_GAP_TIMEOUT_S, EVENT_GAP_TIMEOUT_S)
+        with trio.move_on_at(gone_at):
+            return await answer.next_parts()
+        if not (self._refuses_connections or progress.is_server_removed()):
+            with trio.move_on_at(waiting_since + EVENT_GAP_TIMEOUT_S):
+                return await answer.next_parts()
+        raise ConnectionLost(f"no complete event in time within the stream: awaiting {answer.awaited}")
 
     async def _connect(self) -> ConnectionT:
         """Return a connection of the pool; raise DialFailed."""
--- a/sorreldock/routing/core.py
+++ b/sorreldock/routing/core.py
@@ -472,6 +472,7 @@
             self._check_client,
             self._send_by(entry),
             self._on_attempt_written,
+            may_be_repeated=self.classes[entry.rpc.rpc_class].effect is not Effect.UNSAFE,
         )
         entry.attempts.append(attempt)
         entry.in_flight += 1
--- a/sorreldock/routing/subchannel.py
+++ b/sorreldock/routing/subchannel.py
@@ -26,6 +26,7 @@
         is_client_present: ClientCheck,
         send_by: float = math.inf,
         on_written: WrittenCallback | None = None,
+        may_be_repeated: bool = True,
     ) -> None:
         self.rpc = rpc
         self.number = number
@@ -42,6 +43,7 @@
         self._is_client_present = is_client_present
         self._send_by = send_by
         self._on_written = on_written
+        self._may_be_repeated = may_be_repeated
         self._first_event_timeout_s = 0.0
         self.denial: Denial | None = None  # why it was not written
 
@@ -72,6 +74,9 @@
     def is_server_removed(self) -> bool:
         return self.subchannel.is_retired
 
+    def may_be_repeated(self) -> bool:
+        return self._may_be_repeated
+
     async def forward_events(self, *events: bytes) -> None:
         if not self.started:
             # Too late if the core has given the final answer already, or the deadline expired in the same
--- a/sorreldock/routing/types.py
+++ b/sorreldock/routing/types.py
@@ -148,6 +148,9 @@
     def is_server_removed(self) -> bool:
         """Return whether discovery no longer lists the server."""
 
+    def may_be_repeated(self) -> bool:
+        """Return whether another attempt may follow once the server may have run this one."""
+
     async def forward_events(self, *events: bytes) -> None:
         """Forward events of the answer or parts of one; raise SinkClosed if the client can't receive them."""
 
