Use the status of a server's error without waiting for the rest of its body

Seen by callers: a request refused at its deadline, though its first server had turned it away at once with X-Never-Ran: the error's body never ended, and the attempt waited for it to the end of its time.

--- a/sorreldock/protocol/http/client.py
+++ b/sorreldock/protocol/http/client.py
@@ -392,7 +392,7 @@
         if head.status != 200:
             never_ran = head.status in (503, 504) and head.says_never_ran
             note = f"HTTP {head.status}"
-            await exchange.read_short_body()
+            await exchange.discard_short_body()
             if head.status in REQUEST_ERROR_STATUSES:
                 return AttemptResult(Status.OK, load, note=note, server_status=head.status)
             return AttemptResult(Status.FULL if never_ran else Status.ERROR, load, note=note)
