Measure a request's progress by its length, and end one that only trickles within 3 s

Cause: any byte within 2 s counted as progress, and over gRPC any frame. A frame other than DATA that has begun on a gRPC connection without streams has 2.5 s.

--- a/sorreldock/kserve/framing.py
+++ b/sorreldock/kserve/framing.py
@@ -99,6 +99,13 @@
         """Whether a message has begun that has not been returned to its end."""
         return bool(self._data) or self._rest_bytes > 0
 
+    @property
+    def expected_bytes(self) -> int:
+        """The length of the present message with its prefix, as far as it is known."""
+        if len(self._data) < PREFIX.size:
+            return PREFIX.size
+        return PREFIX.size + int(PREFIX.unpack_from(self._data)[1])
+
     def feed(self, data: bytes) -> None:
         """Append data of the stream."""
         self._data += data
@@ -167,13 +174,19 @@
     gracefully completes its open streams.
     """
 
-    HEADER_BYTES, GOAWAY_TYPE = 9, 7
+    HEADER_BYTES, DATA_TYPE, GOAWAY_TYPE = 9, 0, 7
 
     def __init__(self, preface: bool) -> None:
+        self._is_data = False  # whether the current frame is a DATA frame
         self._remaining = len(CONNECTION_PREFACE) if preface else 0  # bytes of the current frame
         self._header = b""
         self._goaway: bytearray | None = None  # payload of the current frame if it is a GOAWAY
 
+    @property
+    def is_within_control_frame(self) -> bool:
+        """Whether a frame other than DATA has begun and is not complete."""
+        return bool(self._header) or (self._remaining > 0 and not self._is_data)
+
     def strip(self, data: bytes) -> tuple[bytes, list[GoAway]]:
         """Return the data without GOAWAY frames, and the GOAWAY frames that became complete."""
         rest, found = bytearray(), []
@@ -195,6 +208,7 @@
             if len(self._header) < self.HEADER_BYTES:
                 continue
             self._remaining = int.from_bytes(self._header[:3], "big")
+            self._is_data = self._header[3] == self.DATA_TYPE
             if self._header[3] == self.GOAWAY_TYPE and 8 <= self._remaining <= 16384:
                 self._goaway = bytearray()
             else:  # h2 itself raises an error for a malformed frame
--- a/sorreldock/protocol/front.py
+++ b/sorreldock/protocol/front.py
@@ -26,12 +26,10 @@
 # keep out small ones.
 SMALL_REQUEST_BYTES = 16 * 1024
 SPARED_FOR_SMALL_REQUESTS = 0.125
-# Time limits for clients. A truncated request is recognized by the pause after it: a slow link delivers late
-# but continuously, so a body that still arrives gets a long time.
+# Time limits for clients. Those of a request that is being received stand in `request_pace`.
 # From accepting the connection, or the first byte of a later request, to the end of the request's head.
 HEAD_TIMEOUT_S = 2.5
-STALL_TIMEOUT_S = 2.0  # between the received bytes of a request
-BODY_TIMEOUT_S = 30.0  # for the whole body
+REFUSAL_TIMEOUT_S = 2.0  # to tell a client that there is no memory for its connection
 WRITE_TIMEOUT_S = 15.0  # a client that reads nothing for this long counts as disconnected
 LINGERING_CLOSE_TIMEOUT_S = 5.0  # for discarding what a client still sends; enough for 60 MB in transit
 LINGERING_CLOSE_QUIET_S = 1.0  # after this time without a byte no more are expected
--- a/sorreldock/protocol/http/body.py
+++ b/sorreldock/protocol/http/body.py
@@ -12,6 +12,7 @@
 from ...transport.connection import ConnectionLost
 from .. import front as limits
 from ..partial_requests import PartialRequest, PartialRequests
+from ..request_pace import BODY_TIMEOUT_S, STALL_TIMEOUT_S, RequestPace
 from .answers import CLOSE, ImmediateAnswer, PayloadRefused
 
 
@@ -51,6 +52,7 @@
         self.reserved_bytes = 0
         self.began_at = now
         self._is_refused_for_memory = False
+        self._pace = RequestPace(now)
         self._stall = trio.CancelScope()  # of the wait for more
 
     async def read(self, source: RequestSource, length: bytes = b"0") -> BlockBuffer:
@@ -64,26 +66,26 @@
         self._body, self._is_refused_for_memory = BlockBuffer(expected_bytes), False
         self._memory.partial_requests.add(self)
         try:
-            with trio.move_on_after(limits.BODY_TIMEOUT_S):
-                while await self._read_part(source):
-                    pass
-                # Not kept here, which would keep it in memory, uncounted, while the answer streams.
-                body, self._body = self._body, BlockBuffer()
-                return body
+            self._pace = RequestPace(self.began_at)
+            while await self._read_part(source, expected_bytes or limits.MAX_BODY_BYTES):
+                pass
+            # Not kept here, which would keep it in memory, uncounted, while the answer streams.
+            body, self._body = self._body, BlockBuffer()
+            return body
         finally:
             self._memory.partial_requests.remove(self)
-        raise ImmediateAnswer(408, "the body did not arrive in time", (CLOSE,))
 
-    async def _read_part(self, source: RequestSource) -> bool:
+    async def _read_part(self, source: RequestSource, expected_bytes: int) -> bool:
         """Read more of the body, and return False at its end."""
-        with trio.move_on_after(limits.STALL_TIMEOUT_S) as self._stall:
-            event = await source.next_event()
+        event = await self._next_event(source, expected_bytes)
         if self._is_refused_for_memory:
             raise PayloadRefused
         if self._stall.cancelled_caught:
             raise ImmediateAnswer(408, "the body does not go on", (CLOSE,))
         if isinstance(event, h11.EndOfMessage):
             return False
+        if self._pace.is_too_slow(trio.current_time(), expected_bytes):
+            raise ImmediateAnswer(408, "the body arrives too slowly", (CLOSE,))
         if not isinstance(event, h11.Data):
             raise ConnectionLost("the client closed the connection within its body")
         if len(self._body) + len(event.data) > limits.MAX_BODY_BYTES:
@@ -93,15 +95,23 @@
             raise PayloadRefused
         return True
 
+    async def _next_event(self, source: RequestSource, expected_bytes: int) -> h11.Event | None:
+        """Return the next event of a body; None at the end of the time for it, too."""
+        now = trio.current_time()
+        self._pace.record(now, len(self._body))
+        with trio.move_on_at(self._pace.next_byte_by()) as self._stall:
+            return await source.next_event()
+        return None
+
     def _reserve(self, count: int) -> bool:
         return self._memory.reserve_payload(self, count)
 
     async def discard(self, source: RequestSource) -> None:
         """Read the rest of a refused request's body, since further requests may follow it."""
         self.drop()
-        with trio.move_on_after(limits.BODY_TIMEOUT_S), suppress(ImmediateAnswer):
+        with trio.move_on_after(BODY_TIMEOUT_S), suppress(ImmediateAnswer):
             while source.is_within_body:
-                with trio.move_on_after(limits.STALL_TIMEOUT_S) as stall:
+                with trio.move_on_after(STALL_TIMEOUT_S) as stall:
                     event = await source.next_event()
                 if stall.cancelled_caught or event is None:
                     return
--- a/sorreldock/protocol/http/front.py
+++ b/sorreldock/protocol/http/front.py
@@ -40,9 +40,9 @@
         return ClientConnection(self, connection, self.closing, self._close_watch)
 
     async def refuse_connection(self, connection: Connection) -> None:
-        with suppress(ConnectionLost), trio.move_on_after(limits.STALL_TIMEOUT_S):
+        with suppress(ConnectionLost), trio.move_on_after(limits.REFUSAL_TIMEOUT_S):
             await connection.send(NO_MEMORY_ANSWER)
-            await connection.lingering_close(limits.STALL_TIMEOUT_S, limits.LINGERING_CLOSE_QUIET_S)
+            await connection.lingering_close(limits.REFUSAL_TIMEOUT_S, limits.LINGERING_CLOSE_QUIET_S)
 
     async def announce_close(self) -> None:
         self.closing.announce()
--- a/sorreldock/protocol/kserve/call.py
+++ b/sorreldock/protocol/kserve/call.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING, TypeVar
 
 import h2.errors
@@ -16,6 +15,7 @@
 from ...transport.connection import ConnectionLost
 from ...transport.ledger import Holding
 from .. import front as limits
+from ..request_pace import RequestPace
 from .metadata import OWN_PREFIX, StreamHead, error_status_of, rpc_from
 
 if TYPE_CHECKING:
@@ -147,6 +147,7 @@
     async def next_message(self) -> bytes | None:
         """Return the next request message; None once the client has half-closed the stream."""
         self.began_at = trio.current_time()
+        pace: RequestPace | None = None
         while True:
             if self.exceeds_budget:
                 self.deframer.clear()
@@ -164,18 +165,33 @@
                 return None
             self.acknowledge_received()
             # A stream may stay open between messages; a message that has started must continue.
-            started = self.is_unary or self.deframer.partial
-            if not started:
-                self.client.front.idle_streams[self] = None
-            try:
-                with trio.move_on_after(limits.STALL_TIMEOUT_S if started else math.inf) as stall:
-                    await self.changed.wait()
-            finally:
-                self.client.front.idle_streams.pop(self, None)
-            if self.is_evicted:
-                raise GrpcError(Code.UNAVAILABLE, "too many streams", [("grpc-retry-pushback-ms", "1000")])
-            if stall.cancelled_caught:
-                raise GrpcError(Code.DEADLINE_EXCEEDED, "the request does not go on")
+            if pace is None and (self.is_unary or self.deframer.partial):
+                pace = RequestPace(trio.current_time())
+            if pace is None:
+                await self._wait_while_idle()
+            else:
+                await self._wait_for_rest(pace)
+
+    async def _wait_while_idle(self) -> None:
+        """Wait for the first byte of a message, as long as there is memory for others."""
+        self.client.front.idle_streams[self] = None
+        try:
+            await self.changed.wait()
+        finally:
+            self.client.front.idle_streams.pop(self, None)
+        if self.is_evicted:
+            raise GrpcError(Code.UNAVAILABLE, "too many streams", [("grpc-retry-pushback-ms", "1000")])
+
+    async def _wait_for_rest(self, pace: RequestPace) -> None:
+        """Wait for more of a message; raise GrpcError if it does not arrive in time."""
+        now = trio.current_time()
+        pace.record(now, len(self.deframer))
+        if pace.is_too_slow(now, self.deframer.expected_bytes):
+            raise GrpcError(Code.DEADLINE_EXCEEDED, "the request arrives too slowly")
+        with trio.move_on_at(pace.next_byte_by()) as stall:
+            await self.changed.wait()
+        if stall.cancelled_caught:
+            raise GrpcError(Code.DEADLINE_EXCEEDED, "the request does not go on")
 
     def acknowledge_received(self) -> None:
         """Open the flow-control window by what was received; the maximum message size bounds the memory."""
@@ -232,12 +248,9 @@
             if not self.head_sent:
                 await self.send(b"")
             return
-        with trio.move_on_after(limits.BODY_TIMEOUT_S) as scope:
-            message = await self.next_message()
-            if message is not None and await self.next_message() is not None:
-                raise GrpcError(Code.INVALID_ARGUMENT, "a unary call with two messages")
-        if scope.cancelled_caught:
-            raise GrpcError(Code.DEADLINE_EXCEEDED, "the request did not arrive in time")
+        message = await self.next_message()
+        if message is not None and await self.next_message() is not None:
+            raise GrpcError(Code.INVALID_ARGUMENT, "a unary call with two messages")
         if message is None:
             raise GrpcError(Code.INVALID_ARGUMENT, "a unary call without a message")
         if method == "ModelInfer":
--- a/sorreldock/protocol/kserve/connection.py
+++ b/sorreldock/protocol/kserve/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from contextlib import suppress
 from functools import partial
 from typing import TYPE_CHECKING
@@ -45,6 +46,7 @@
         self.has_sent_request = False
         # The final GOAWAY follows a first one once no more streams are accepted.
         self.goaway_sent = self.final_goaway_sent = self.has_protocol_error = False
+        self.control_frame_since = math.inf  # when a frame began that is not complete
         self.should_close = trio.Event()
 
     def close_if_idle(self) -> bool:
@@ -130,7 +132,10 @@
         await self.wire.flush()
         while True:
             try:
-                events = await self.wire.receive()
+                with trio.move_on_at(self.control_frame_deadline()) as stall:
+                    events = await self.wire.receive()
+                if stall.cancelled_caught:
+                    return
             except h2.exceptions.ProtocolError:
                 self.has_protocol_error = True
                 await self.wire.flush()  # h2 has queued a GOAWAY with the error code
@@ -146,6 +151,14 @@
                 self.front.queue.add(self)
             self.wire.queue_output()
 
+    def control_frame_deadline(self) -> float:
+        """Return when a frame that opens a stream has to be complete, on a connection without another one."""
+        if self.streams or not self.wire.is_within_control_frame:
+            self.control_frame_since = math.inf
+        else:
+            self.control_frame_since = min(self.control_frame_since, trio.current_time())
+        return self.control_frame_since + limits.HEAD_TIMEOUT_S
+
     def handle_event(self, event: h2.events.Event | GoAway, nursery: trio.Nursery) -> None:
         match event:
             case h2.events.RequestReceived():
--- a/sorreldock/protocol/kserve/front.py
+++ b/sorreldock/protocol/kserve/front.py
@@ -80,9 +80,9 @@
 
     async def refuse_connection(self, connection: Connection) -> None:
         goaway = GoAwayFrame(0, last_stream_id=0, error_code=ErrorCodes.ENHANCE_YOUR_CALM)
-        with suppress(ConnectionLost), trio.move_on_after(limits.STALL_TIMEOUT_S):
+        with suppress(ConnectionLost), trio.move_on_after(limits.REFUSAL_TIMEOUT_S):
             await connection.send(SettingsFrame(0).serialize() + goaway.serialize())
-            await connection.lingering_close(limits.STALL_TIMEOUT_S, limits.LINGERING_CLOSE_QUIET_S)
+            await connection.lingering_close(limits.REFUSAL_TIMEOUT_S, limits.LINGERING_CLOSE_QUIET_S)
 
     async def announce_close(self) -> None:
         self._send_goaways()
--- a/sorreldock/protocol/kserve/grpc.py
+++ b/sorreldock/protocol/kserve/grpc.py
@@ -74,6 +74,11 @@
                 self.window_changed = trio.Event()
         return events + goaways
 
+    @property
+    def is_within_control_frame(self) -> bool:
+        """Whether a frame other than DATA has been received in part."""
+        return self._goaway_filter.is_within_control_frame
+
     async def _next_input(self) -> bytes:
         """Return received bytes; empty at the peer's end of stream."""
         return await self.connection.receive()
--- a/tests/test_bad_days.py
+++ b/tests/test_bad_days.py
@@ -15,7 +15,7 @@
 from sorreldock.interface import AttemptEnded, Status
 from sorreldock.kserve.framing import Code
 from sorreldock.protocol import front as limits
-from sorreldock.protocol import server_client
+from sorreldock.protocol import request_pace, server_client
 from sorreldock.protocol.http.client import EventSplitter
 from sorreldock.transport import admission
 from sorreldock.transport.budget import Use
@@ -98,7 +98,7 @@
     partial_request: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(limits, "HEAD_TIMEOUT_S", 0.1)
-    monkeypatch.setattr(limits, "STALL_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(request_pace, "STALL_TIMEOUT_S", 0.1)
     async with running_router(ScriptedServer()) as router:
         wire = await router.connect()
         if partial_request:
@@ -110,7 +110,7 @@
 
 @trio_test
 async def test_a_body_on_a_slow_link_may_take_longer_than_a_stall(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(limits, "STALL_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(request_pace, "STALL_TIMEOUT_S", 0.3)
     server = ScriptedServer()
     async with running_router(server) as router:
         wire = await router.connect()
@@ -306,7 +306,7 @@
 @trio_test
 async def test_an_incomplete_grpc_request_is_ended(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(limits, "HEAD_TIMEOUT_S", 0.1)
-    monkeypatch.setattr(limits, "STALL_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(request_pace, "STALL_TIMEOUT_S", 0.1)
     async with (
         running_router(DualProtocolServer(), operator=BOTH_PROTOCOLS) as router,
         grpc_client(router) as client,
