Give up a reader only when it takes nothing, not when its answer takes long

Seen by callers: the stream of a client on a slow link was cut after 15 s, though the client was reading: a large event, or several that came together, had not been written whole by then. Cause: the limit of 15 s stood over the whole write (HTTP: all parts; gRPC: a message, and all queued frames). Change: it runs from the last bytes that the peer has taken; the kernel's count of unacknowledged bytes shows that, where it takes no more before a large part of its buffer is free. Evidence: both tests of slow reading failed before; the one of a client that reads nothing holds before and after.

--- a/sorreldock/protocol/http/connection.py
+++ b/sorreldock/protocol/http/connection.py
@@ -21,7 +21,7 @@
 from ...transport.admission import STAGE_TIMEOUT_S, Stage
 from ...transport.blocks import BlockBuffer
 from ...transport.close_watch import CloseWatch
-from ...transport.connection import Connection, ConnectionLost
+from ...transport.connection import Connection, ConnectionLost, WriteStalled
 from ...transport.turns import Share
 from .. import front as limits
 from ..front import Front
@@ -154,10 +154,10 @@
 
     async def write(self, *parts: bytes) -> None:
         """Write parts; raise ConnectionLost if the connection fails or the client does not read in time."""
-        with trio.move_on_after(limits.WRITE_TIMEOUT_S) as scope:
-            await self.connection.send(*parts)
-        if scope.cancelled_caught:  # frees memory and servers from a client that never reads
-            raise ClientStalled("the client does not read its answer")
+        try:
+            await self.connection.send(*parts, stall_s=limits.WRITE_TIMEOUT_S)
+        except WriteStalled:  # frees memory and servers from a client that never reads
+            raise ClientStalled("the client does not read its answer") from None
 
     def connection_fields(self) -> list[tuple[bytes, bytes]]:
         """Return the fields that announce the close of the connection, if it closes after this answer."""
--- a/sorreldock/protocol/kserve/call.py
+++ b/sorreldock/protocol/kserve/call.py
@@ -133,6 +133,7 @@
                     continue
                 wire.h2.send_data(self.number, bytes(view[:window]))
                 view = view[window:]
+                scope.deadline = trio.current_time() + limits.WRITE_TIMEOUT_S
                 await wire.flush()
         if scope.cancelled_caught:  # don't keep a server busy for a client that never reads
             self.abort(h2.errors.ErrorCodes.CANCEL)
--- a/sorreldock/protocol/kserve/grpc.py
+++ b/sorreldock/protocol/kserve/grpc.py
@@ -200,10 +200,7 @@
             data, self._pending = self._pending, b""
             self._sending = True
             self._notify()  # there is room again
-            with trio.move_on_after(limits.WRITE_TIMEOUT_S) as scope:
-                await self.connection.send(data)
-            if scope.cancelled_caught:
-                raise ConnectionLost("the client reads nothing")
+            await self.connection.send(data, stall_s=limits.WRITE_TIMEOUT_S)
             self._sending = False
             self._control_bytes = 0
             self._notify()
--- a/sorreldock/transport/connection.py
+++ b/sorreldock/transport/connection.py
@@ -4,6 +4,7 @@
 
 import array
 import fcntl
+import math
 import socket
 import struct
 import termios
@@ -26,6 +27,7 @@
 MAX_QUERIES = 4  # of a socket's state, which may fail for a moment
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # struct linger: on, for 0 s
 TCP_NOTSENT_LOWAT = 25  # of include/uapi/linux/tcp.h; not in the socket module
+STALL_CHECKS = 5  # of whether a peer that takes nothing more has acknowledged something, in the time for it
 DISCARD_BUFFER = bytearray(65536)  # shared by all connections, for received data that is discarded
 
 
@@ -33,6 +35,10 @@
     """The connection was reset by the peer, or failed otherwise."""
 
 
+class WriteStalled(ConnectionLost):
+    """The peer has taken nothing of what was written for too long."""
+
+
 class DialFailed(Exception):
     """A connection could not be opened: refused, timed out, or no descriptor available."""
 
@@ -130,26 +136,39 @@
         """Free the memory for received data while no request is in progress."""
         self._incoming.free_memory()
 
-    async def send(self, *parts: bytes | memoryview) -> None:
-        """Write all parts, gathered in the ring buffer so that a short head leaves together with its body."""
+    async def send(self, *parts: bytes | memoryview, stall_s: float = math.inf) -> None:
+        """Write all parts, gathered in the ring buffer so that a short head leaves together with its body.
+
+        Raises WriteStalled if the peer takes nothing for `stall_s`, however long it takes for all.
+        """
         try:
             for part in parts:
                 view = memoryview(part)
                 while view:
                     view = view[self._outgoing.write(view) :]
                     if not self._outgoing.free_bytes:
-                        await self._write_some()
+                        await self._write_some(stall_s)
             while self._outgoing:
-                await self._write_some()
+                await self._write_some(stall_s)
             self._outgoing.free_memory()
         except (OSError, trio.ClosedResourceError) as error:  # the latter if another task closed it
             raise ConnectionLost(str(error)) from None
 
-    async def _write_some(self) -> None:
+    async def _write_some(self, stall_s: float) -> None:
         if not self._no_delay:
             self._no_delay = set_no_delay(self._sock)
-        sent = await retry_transient(lambda: self._sock.send(self._outgoing.readable_span()))
-        self._outgoing.consume(sent)
+        unacknowledged: int | None = None  # at the last check
+        checks_left = STALL_CHECKS
+        while checks_left:
+            with trio.move_on_after(stall_s / STALL_CHECKS):
+                sent = await retry_transient(lambda: self._sock.send(self._outgoing.readable_span()))
+                self._outgoing.consume(sent)
+                return
+            # The kernel takes no more before a large part of what it holds has been acknowledged.
+            before, unacknowledged = unacknowledged, self.unacknowledged_bytes()
+            if before is not None:
+                checks_left = STALL_CHECKS if unacknowledged < before else checks_left - 1
+        raise WriteStalled("the peer takes nothing")
 
     async def lingering_close(self, timeout_s: float, quiet_s: float) -> None:
         """Shut down sending, then read and discard until the peer has closed or received everything.
--- a/tests/test_waits_on_clients.py
+++ b/tests/test_waits_on_clients.py
@@ -7,7 +7,19 @@
 
 import pytest
 import trio
-from test_waits_on_servers import DONE, EVENT, begun, big_event, ended, in_pieces, sound_answer
+from test_waits_on_servers import (
+    DONE,
+    EVENT,
+    FIRST,
+    FRAMED,
+    begun,
+    big_event,
+    big_message,
+    ended,
+    grpc_sound,
+    in_pieces,
+    sound_answer,
+)
 from virtual_peers import (
     GRPC_PORT,
     PEER_ERRORS,
@@ -26,7 +38,7 @@
 from sorreldock.kserve.framing import PREFIX, frame
 from sorreldock.lab.simulation.frames import FrameWriter, encode_frame
 from sorreldock.lab.simulation.network import VirtualSocket
-from sorreldock.lab.simulation.readers import HEADERS
+from sorreldock.lab.simulation.readers import DATA, HEADERS, PREFACE, RST_STREAM, FrameReader
 
 BAD_CLIENT_S = 3.0  # LATER, "Bad clients": an error or a close since connecting
 WRITTEN_WITHIN_S = 2.0  # DAYS, "Size": some requests are written in 2 s
@@ -135,8 +147,6 @@
 
 @pytest.mark.parametrize("name", GRPC_SOUND)
 def test_a_sound_slow_grpc_client_is_served(name: str) -> None:
-    from test_waits_on_servers import FIRST, FRAMED, grpc_sound
-
     answer, _ = play(sending(GRPC_SOUND[name], GRPC_PORT), grpc_scripts=[grpc_sound(FIRST)])  # type: ignore[arg-type]
     assert (answer.body, answer.status) == (FRAMED, "0"), answer
 
@@ -214,6 +224,31 @@
     assert play(scene, [long_answer]).endswith(b"0\r\n\r\n")
 
 
+def test_a_grpc_client_that_reads_slowly_gets_its_whole_answer() -> None:
+    message = big_message(200_000)
+
+    async def scene(router: VirtualRouter) -> int:
+        sock, writer, reader = await router.connect(GRPC_PORT), FrameWriter(), FrameReader(preface=False)
+        preface = FrameWriter.preface(writer, client=True)[: len(PREFACE) + 9 + 6]  # without a larger window
+        preface = preface[:-4] + (65535).to_bytes(4, "big")
+        await sock.send_all(
+            preface + writer.headers(1, grpc_fields()) + writer.data(1, frame(infer_request()), ends=True)
+        )
+        size = 0
+        with suppress(*PEER_ERRORS):
+            while data := await sock.recv(200_000 // 40):
+                for item in reader.feed(data):
+                    size += len(item.data()) if item.kind == DATA else 0
+                    await sock.send_all(writer.acknowledge(item))
+                    if item.ends or item.kind == RST_STREAM:
+                        return size
+                await trio.sleep(READ_S / 40)
+        return size
+
+    script = grpc_sound((message, 1, 0.05))
+    assert play(scene, grpc_scripts=[script]) == len(message)
+
+
 def test_a_client_that_reads_nothing_keeps_no_server_busy() -> None:
     async def scene(router: VirtualRouter) -> float:
         sock = await router.connect()
