--- a/tests/virtual_peers.py
+++ b/tests/virtual_peers.py
@@ -14,11 +14,13 @@
 import trio
 from peers import SETTINGS
 
+from sorreldock.client import Client, ClientSettings
 from sorreldock.interface import ListKind
 from sorreldock.kserve import kserve_pb2 as pb
 from sorreldock.kserve.framing import frame
 from sorreldock.lab.simulation.determinism import seeded_scheduler, virtual_clock
 from sorreldock.lab.simulation.frames import FrameWriter
+from sorreldock.lab.simulation.library import VirtualClientSocket
 from sorreldock.lab.simulation.network import Host, Network, NetworkConditions, VirtualSocket
 from sorreldock.lab.simulation.readers import (
     DATA,
@@ -99,15 +101,18 @@
     async def _serve_grpc(self, sock: VirtualSocket, data: bytes) -> None:
         reader, writer = FrameReader(preface=True), FrameWriter()
         await sock.send_all(writer.preface(client=False))
-        while data:
-            for item in reader.feed(data):
-                if item.kind == HEADERS:
-                    reader.decode_fields(item)
-                if reply := writer.acknowledge(item):
-                    await sock.send_all(reply)
-                if item.ends:
-                    await self._write(sock, self._next(self.grpc_scripts)(writer, item.stream))
-            data = await sock.recv()
+        async with trio.open_nursery() as nursery:
+            while data:
+                for item in reader.feed(data):
+                    if item.kind == HEADERS:
+                        reader.decode_fields(item)
+                    if reply := writer.acknowledge(item):
+                        await sock.send_all(reply)
+                    if item.ends:
+                        steps = self._next(self.grpc_scripts)(writer, item.stream)
+                        nursery.start_soon(self._write, sock, steps)
+                data = await sock.recv()
+            nursery.cancel_scope.cancel()
 
     @staticmethod
     def _next(scripts: list[Any]) -> Any:
@@ -120,7 +125,8 @@
             await trio.sleep(step.after_s)
             if sock.inbox is not None and (sock.inbox.got_fin or sock.inbox.got_reset):
                 return
-            await sock.send_all(step.data)
+            with suppress(*PEER_ERRORS):
+                await sock.send_all(step.data)
             self.event_times += [trio.current_time()] * step.completes
 
 
@@ -319,3 +325,36 @@
     with seeded_scheduler(1):
         trio.run(main, clock=virtual_clock(network.next_at, network.advance))
     return result[0]
+
+
+def play_library(
+    scene: Callable[[Client], Awaitable[T]],
+    scripts: list[Script] | None = None,
+    grpc_scripts: list[GrpcScript] | None = None,
+    client_settings: ClientSettings | None = None,
+) -> T:
+    """Run a scene of the client library on virtual time; the scripts are those of its only router."""
+    network = Network(random.Random(1), NetworkConditions(), lambda line: None)
+    peer = ScriptedServer(scripts or [], grpc_scripts or [])
+    router, host = network.add_host("s0", "127.0.2.1"), network.add_host("c0", "127.0.4.1")
+    result: list[T] = []
+
+    async def dial(address: str, silence_s: float) -> VirtualClientSocket:
+        sock = host.socket()
+        await sock.connect(("127.0.2.1", SERVER_PORT))
+        return VirtualClientSocket(sock)
+
+    async def main() -> None:
+        with trio.fail_after(MAX_RUN_S):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(router.serve, SERVER_PORT, peer.serve, nursery)
+                protocol = "kserve" if grpc_scripts else "http"
+                settings = client_settings or ClientSettings(max_retries=0)
+                address = f"127.0.2.1:{SERVER_PORT}"
+                async with Client([address], settings, protocol, random.Random(1), dial=dial) as client:
+                    result.append(await scene(client))
+                nursery.cancel_scope.cancel()
+
+    with seeded_scheduler(1):
+        trio.run(main, clock=virtual_clock(network.next_at, network.advance))
+    return result[0]
