Client library: let only events with data extend the wait, and judge chunk sizes at once

Seen by callers: an answer that a router or a proxy had spoilt held its caller without end: comments or blank lines, anything behind data: [DONE], a chunk of gigabytes with sound-looking events. Cause: any block counted as an event, so each started silence_s anew; h11 tells no stated size. Change: silence_s runs from one event with data to the next, up to the protocol's last one, without the time that the caller takes; ChunkScanner follows the framing as in the router.

--- a/sorreldock/client/client.py
+++ b/sorreldock/client/client.py
@@ -74,6 +74,7 @@
         self._is_complete = False
         self._ended_at: float | None = None
         self._scope: anyio.CancelScope | None = None
+        self._waiting_since = self._delivered_at = self._started_at
         self.resumed = False
         self.first_event_s = 0.0
 
@@ -142,12 +143,16 @@
     async def _read_event(self) -> bytes | None:
         exchange = self._call.exchange
         assert exchange is not None
+        now = anyio.current_time()
+        # The time in which the caller uses an event is not the router's.
+        waited_s = 0.0 if exchange.last_was_progress else self._delivered_at - self._waiting_since
+        self._waiting_since = now - waited_s
         try:
-            with anyio.move_on_after(self._client.settings.silence_s) as silence:
+            with anyio.move_on_after(self._client.settings.silence_s - waited_s) as silence:
                 event = await exchange.next_event()
             if silence.cancelled_caught:
                 self._client._count_silent_router(self._call)
-                raise ConnectionLost(f"nothing was received for {self._client.settings.silence_s:g} s")
+                raise ConnectionLost(f"no event was received for {self._client.settings.silence_s:g} s")
         except ConnectionLost as lost:
             self._call.release()  # the first attempt is closed before the rest is asked for
             event = await self._resume_answer(lost)
@@ -176,6 +181,7 @@
 
     def _deliver(self, event: bytes) -> bytes:
         self._received.append(event)
+        self._delivered_at = anyio.current_time()
         return event
 
     def _finish(self) -> None:
@@ -200,7 +206,7 @@
     `routers` are `host:port` strings, or `Endpoint`s with a zone; `protocol` is "http" (the platform's) or
     "kserve". Invalid ones raise ValueError. The `timeout_s` of a call is one deadline in seconds for the
     first event, with dialling, waiting and retries included. After the first event the answer is broken
-    when nothing arrives for `settings.silence_s`.
+    when no event arrives for `settings.silence_s`.
     """
 
     def __init__(
--- a/sorreldock/client/http.py
+++ b/sorreldock/client/http.py
@@ -10,7 +10,8 @@
 import anyio
 import h11
 
-from ..completeness import IncompleteAnswer, check_event_stream, contains_end_event
+from ..chunked import ChunkScanner, FramingError
+from ..completeness import IncompleteAnswer, check_event_stream, contains_end_event, has_data
 from .policy.outcome import NonExecutionProof, Outcome, OutcomeKind
 from .policy.refusal import parse_retry_after
 from .sockets import ConnectionLost, Socket
@@ -76,7 +77,8 @@
         self.host = router.encode()
         self.max_event_bytes = max_event_bytes
         self.is_in_use = False
-        self._protocol_error: h11.RemoteProtocolError | None = None
+        self._protocol_error: h11.RemoteProtocolError | FramingError | None = None
+        self._scanner: ChunkScanner | None = None  # of the present answer's body, if it is chunked
 
     @property
     def free_slots(self) -> int:
@@ -104,10 +106,25 @@
                 raise ConnectionLost(f"invalid HTTP response: {error}") from None
             if event is not h11.NEED_DATA:
                 return event  # type: ignore[return-value]
+            if self._scanner is not None and self._scanner.error is not None:
+                raise ConnectionLost(f"invalid HTTP response: {self._scanner.error}")
             data = await self.socket.receive()
             if not data and self.parser.their_state is h11.SEND_RESPONSE:
                 raise ConnectionLost("closed by the router")
-            self.parser.receive_data(data)
+            self._pass_to_parser(data)
+
+    def _pass_to_parser(self, data: bytes) -> None:
+        """Pass received data to the parser, up to the first byte of an invalid chunk."""
+        count = len(data) if self._scanner is None else self._scanner.feed(data)
+        if count or not data:  # to the parser, no data is the end of the stream
+            self.parser.receive_data(data[:count])
+
+    def follow_body(self, is_chunked: bool) -> None:
+        """Follow the framing of the body behind the head that has been read."""
+        self._scanner = ChunkScanner() if is_chunked else None
+        if self._scanner is not None:
+            self._scanner.feed(self.parser.trailing_data[0])
+            self._protocol_error = self._scanner.error
 
     def buffered_event(self) -> h11.Event | None:
         """Return the next part of the answer's body if it has been received already, else None.
@@ -132,7 +149,7 @@
         self._request, self._body, self._mark = request, body, mark
         self._splitter = EventSplitter(connection.max_event_bytes)
         self._events: deque[bytes] = deque()
-        self._closed = self._has_end_event = False
+        self._closed = self._has_end_event = self._has_returned_end = False
         self._incomplete: ConnectionLost | None = None  # the answer's framing has ended before its last event
         self._request_end: int | None = None  # the offset behind its last byte; None before it is written
 
@@ -191,6 +208,7 @@
             raise ConnectionLost("closed by the router")
         headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers}
         self.begun = event.status_code == 200
+        connection.follow_body(headers.get("transfer-encoding") == "chunked")
         if "close" in headers.get("connection", "").lower():
             connection.closing = True
         if not self.begun:
@@ -213,7 +231,13 @@
                 pass
 
     def buffered_event(self) -> bytes | None:
-        return self._events.popleft() if self._events else None
+        return self._return(self._events.popleft()) if self._events else None
+
+    def _return(self, event: bytes) -> bytes:
+        """Return an event, and keep whether it is one that the answer's time limit starts anew with."""
+        self.last_was_progress = has_data(event) and not self._has_returned_end
+        self._has_returned_end = self._has_returned_end or contains_end_event(event)
+        return event
 
     async def next_event(self) -> bytes | None:
         while not self._events:
@@ -225,7 +249,7 @@
             # Parts that were received in the same read need no further wait.
             while not self._has_ended and (event := self.connection.buffered_event()) is not None:
                 self._accept(event)
-        return self._events.popleft()
+        return self._return(self._events.popleft())
 
     @property
     def _has_ended(self) -> bool:
--- a/sorreldock/client/wire.py
+++ b/sorreldock/client/wire.py
@@ -53,6 +53,9 @@
 
     begun = False  # whether the head of an answer has arrived
     is_complete = False  # whether the answer has arrived to its end
+    # Whether what was returned last is an event with data, up to the protocol's last one. Only such events
+    # start the answer's time limit anew.
+    last_was_progress = True
 
     @abstractmethod
     async def send(self, expires_in_s: Callable[[], float | None]) -> bool:
--- a/sorreldock/completeness.py
+++ b/sorreldock/completeness.py
@@ -25,6 +25,11 @@
     return END_EVENT_VALUE in events and any(is_end_event(line) for line in events.split(b"\n"))
 
 
+def has_data(events: bytes) -> bool:
+    """Return whether a block of an event stream is an event: one without data is only a comment (WHATWG)."""
+    return events.startswith(DATA_FIELD) or b"\n" + DATA_FIELD in events
+
+
 def check_event_stream(has_end_event: bool, remainder: bytes) -> None:
     """Raise IncompleteAnswer unless an event stream is complete whose framing has ended.
 
