--- a/sorreldock/client/client.py
+++ b/sorreldock/client/client.py
@@ -148,7 +148,7 @@
         waited_s = 0.0 if exchange.last_was_progress else self._delivered_at - self._waiting_since
         self._waiting_since = now - waited_s
         try:
-            with anyio.move_on_after(self._client.settings.silence_s - waited_s) as silence:
+            with anyio.move_on_after(max(self._client.settings.silence_s - waited_s, 0.0)) as silence:
                 event = await exchange.next_event()
             if silence.cancelled_caught:
                 self._client._count_silent_router(self._call)
--- a/sorreldock/lab/soak/clients.py
+++ b/sorreldock/lab/soak/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from enum import Enum
 from typing import Any
@@ -13,6 +14,7 @@
 from .records import Exchange, Records
 
 LATE_ANSWER_WAIT_S = 3.0  # after its time limit, a client still records a late answer for this long
+BEGUN_ANSWER_WAIT_S = 8.0  # and for this long after the last bytes of an answer that has begun
 PATH = "/v1/chat/completions"
 
 
@@ -76,15 +78,18 @@
             self.parser.receive_data(bytes(await self.stream.receive_some(65536)))
         return event
 
-    async def read_answer(self, exchange: Exchange) -> None:
+    async def read_answer(self, exchange: Exchange, on_received: Callable[[], None]) -> None:
         """Read an answer into `exchange`, to the end of the answer or of the connection."""
         try:
             head = await self.next_event()
             if not isinstance(head, h11.Response):
                 return
             exchange.head_received_at, exchange.status = trio.current_time(), head.status_code
+            on_received()
             while isinstance(event := await self.next_event(), h11.Data):
                 exchange.body += bytes(event.data)
+                exchange.arrivals.append((trio.current_time(), len(exchange.body)))
+                on_received()
             exchange.is_complete = isinstance(event, h11.EndOfMessage)
         except (h11.RemoteProtocolError, trio.BrokenResourceError):
             pass
@@ -140,11 +145,16 @@
     ) -> None:
         self._records.exchanges.append(exchange)
         exchange.sent_at = trio.current_time()
+
+        def extend_time_limit() -> None:
+            if not plan.abandon_after_s:
+                time_limit.deadline = trio.current_time() + BEGUN_ANSWER_WAIT_S
+
         with trio.move_on_after(plan.abandon_after_s or plan.timeout_s + LATE_ANSWER_WAIT_S) as time_limit:
             try:
                 await connection.send(exchange.trace_id, plan)
                 exchange.sent_at = trio.current_time()
-                await connection.read_answer(exchange)
+                await connection.read_answer(exchange, extend_time_limit)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 pass
         now = trio.current_time()
--- a/sorreldock/lab/soak/faults.py
+++ b/sorreldock/lab/soak/faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Collection
 from dataclasses import dataclass
 from enum import Enum
 
@@ -35,10 +36,20 @@
     seed: int
 
 
-def draw_plan(seed: int, span_s: float, faults_per_s: float, has_crowd: bool = False) -> list[PlannedFault]:
-    """Draw a plan with a mean rate of `faults_per_s`; the faults may overlap in time."""
+def draw_plan(
+    seed: int,
+    span_s: float,
+    faults_per_s: float,
+    has_crowd: bool = False,
+    chosen: Collection[FaultKind] = (),
+) -> list[PlannedFault]:
+    """Draw a plan with a mean rate of `faults_per_s`; the faults may overlap in time.
+
+    They are of the `chosen` kinds; without those, of all, a crowd only with `has_crowd`.
+    """
     rng = random.Random(seed)
     kinds = [kind for kind in FaultKind if has_crowd or kind is not FaultKind.CROWD]
+    kinds = [kind for kind in FaultKind if kind in chosen] or kinds
     plan: list[PlannedFault] = []
     at = 1.0
     while (at := at + rng.expovariate(faults_per_s)) < span_s - 1.0:
--- a/sorreldock/lab/soak/invariants.py
+++ b/sorreldock/lab/soak/invariants.py
@@ -13,6 +13,9 @@
 NOTIFICATION_S = 6.0  # time within which a router must receive a change from a reachable discovery
 TIMEOUT_SLACK_S = 0.15  # by which a server's time limit may exceed the time that the client has left
 CLOSE_LAG_S = 0.02  # a server may see the end of a connection this long after the next attempt has begun
+CLIENT_WAITS_S = 5.0  # since a server's last event; then a stream that does not go on has to have ended
+EVENT_DELAY_S = 0.3  # within which an event has to be forwarded
+MAX_HELD_SHARE = 0.1  # of the streams of a run may have an event held back
 KILL_GRACE_S = 0.7  # requests sent later than this after SIGTERM are not excused by SIGKILL
 
 
@@ -28,11 +31,13 @@
         if not is_excused(exchange, records.process_runs):
             broken_rules += check_answered(exchange, slack)
             broken_rules += check_body(exchange, attempts)
+            broken_rules += check_not_left_open(exchange, slack)
         broken_rules += check_not_sent_after_close(exchange, attempts, slack)
         broken_rules += check_timeouts(exchange, attempts, slack)
     for attempts in by_id.values():
         broken_rules += check_no_overlap(attempts, slack)
     broken_rules += check_drains(records, slack)
+    broken_rules += check_delays(records, by_id, slack)
     broken_rules += [
         f"crash: {run.router} exited with status {run.status}"
         for run in records.process_runs
@@ -94,6 +99,50 @@
     return []
 
 
+def check_not_left_open(exchange: Exchange, slack: float) -> list[str]:
+    """Check that a stream that broke has ended in time after its last event."""
+    if exchange.status != 200 or exchange.is_complete or exchange.abandoned_at is not None:
+        return []
+    last_event_end = end_of_last_event(exchange.body)
+    assert exchange.head_received_at is not None
+    arrivals = [(exchange.head_received_at, 0), *exchange.arrivals]
+    last_event_at = next(at for at, size in arrivals if size >= last_event_end)
+    if exchange.ended_at is not None and exchange.ended_at <= last_event_at + CLIENT_WAITS_S + slack:
+        return []
+    return [f"lost: {exchange.trace_id} at {exchange.router}: left waiting after its last event"]
+
+
+def end_of_last_event(body: bytes) -> int:
+    """Return the offset behind the last complete event with data; 0 without one."""
+    offset = end = 0
+    for block in body.split(b"\n\n")[:-1]:
+        offset += len(block) + 2
+        if block.startswith(b"data:"):
+            end = offset
+    return end
+
+
+def check_delays(records: Records, by_id: dict[str, list[ReceivedAttempt]], slack: float) -> list[str]:
+    """Check that few streams had an event that was forwarded late."""
+    streams = [e for e in records.exchanges if e.status == 200 and e.abandoned_at is None]
+    held = [e.trace_id for e in streams if has_held_event(e, by_id[e.trace_id], slack)]
+    if len(held) <= MAX_HELD_SHARE * len(streams):
+        return []
+    return [f"held: {len(held)} of {len(streams)} streams had an event held back: {' '.join(held[:5])}"]
+
+
+def has_held_event(exchange: Exchange, attempts: list[ReceivedAttempt], slack: float) -> bool:
+    """Return whether an event reached the client too long after its server had written it."""
+    return any(
+        size <= len(exchange.body)
+        and next(at for at, received in exchange.arrivals if received >= size)
+        > written_at + EVENT_DELAY_S + slack
+        for attempt in attempts
+        if attempt.sent_body.startswith(exchange.body)
+        for written_at, size in attempt.event_times
+    )
+
+
 def check_not_sent_after_close(
     exchange: Exchange, attempts: list[ReceivedAttempt], slack: float
 ) -> list[str]:
--- a/sorreldock/lab/soak/records.py
+++ b/sorreldock/lab/soak/records.py
@@ -22,6 +22,7 @@
     status: int = 0  # of the answer; 0 without one
     is_complete: bool = False
     body: bytes = b""
+    arrivals: list[tuple[float, int]] = field(default_factory=list)  # time, and bytes of the body by then
 
 
 @dataclass(slots=True)
@@ -34,7 +35,8 @@
     timeout_s: float  # the time limit in the request
     ended_at: float | None = None  # end of the answer or of the connection
     was_cut_off: bool = False  # the server closed the connection in the middle of the answer
-    sent_body: bytes = b""  # the events that were written
+    sent_body: bytes = b""  # the events that were written, without those of a spoilt part
+    event_times: list[tuple[float, int]] = field(default_factory=list)  # time, and bytes of the body by then
 
 
 @dataclass(slots=True)
--- a/sorreldock/lab/soak/runner.py
+++ b/sorreldock/lab/soak/runner.py
@@ -56,6 +56,8 @@
     changes_per_s: float = 0.0  # of the server list, in addition to the faults
     has_crowd: bool = False  # hostile clients in large numbers, as one kind of fault
     memory_mb: int = 192
+    fault_kinds: tuple[faults.FaultKind, ...] = ()  # all, if there are none
+    server_faults: tuple[ServerFault, ...] = ()  # of SERVERS_FAIL; all, if there are none
     failing_calls: float = 0.0  # share of system calls, in half of the routers
     client_behaviours: tuple[ClientBehaviour, ...] = (
         ClientBehaviour.ONE_SHOT,
@@ -95,7 +97,7 @@
         """Run the soak to its end and check its records."""
         soak = self.soak
         plan = (
-            faults.draw_plan(soak.seed, soak.span_s, soak.faults_per_s, soak.has_crowd)
+            faults.draw_plan(soak.seed, soak.span_s, soak.faults_per_s, soak.has_crowd, soak.fault_kinds)
             if soak.faults_per_s
             else []
         )
@@ -246,7 +248,8 @@
 
     async def _fail_requests(self, duration_s: float, rng: random.Random) -> None:
         before = self.fleet.behaviour
-        fault = rng.choice([fault for fault in ServerFault if fault is not ServerFault.NONE])
+        all_faults = [fault for fault in ServerFault if fault is not ServerFault.NONE]
+        fault = rng.choice(self.soak.server_faults or all_faults)
         self.fleet.behaviour = ServerBehaviour(
             first_event_s=rng.choice((0.0, 0.05, 0.3)),
             spread_s=rng.choice((0.0, 0.2)),
--- a/sorreldock/lab/soak/servers.py
+++ b/sorreldock/lab/soak/servers.py
@@ -22,6 +22,9 @@
 DONE = b"data: [DONE]\n\n"
 SLOW_EVENT = b'data: {"text":"' + b"x" * 1480 + b'"}\n\n'
 SLOW_EVENT_PIECES, SLOW_EVENT_INTERVAL_S = 15, 0.4
+SLOW_CHUNK_EVENTS, SLOW_CHUNK_INTERVAL_S = 5, 0.6
+PAUSE_RANGE_S = (1.0, 4.4)  # within an event; a stream may be silent for nearly 5 s
+SPOILT_INTERVAL_S = 0.4
 SLOW_READ_BYTES, SLOW_READ_INTERVAL_S = 8192, 0.05
 KEEPALIVE_INTERVAL_S = 2.0  # of the empty lines that discovery sends while nothing changes
 SERVERS_PER_SUBNET = 250
@@ -40,6 +43,20 @@
     EARLY_END = "early_end"  # the answer ends with its last chunk, but without its last event
     SLOW_EVENT = "slow_event"  # a long event is written in small pieces
     SLOW_READ = "slow_read"  # the request is read in small pieces
+    SLOW_CHUNK = "slow_chunk"  # one chunk holds several events, which are written one after the other
+    PAUSED_EVENT = "paused_event"  # a pause within an event
+    HUGE_CHUNK = "huge_chunk"  # a chunk states 3 GB and goes on with sound events
+    ENDLESS_SIZE = "endless_size"  # the line of a chunk's size does not end
+    ENDLESS_EVENT = "endless_event"  # an event does not end
+    ENDLESS_COMMENTS = "endless_comments"  # comments are all that follows
+
+
+SPOILT_PARTS = {
+    ServerFault.HUGE_CHUNK: (b"B2D05E00\r\n", EVENT % 0),
+    ServerFault.ENDLESS_SIZE: (b"0", b"0"),
+    ServerFault.ENDLESS_EVENT: (b"20000\r\ndata: ", b"x"),
+    ServerFault.ENDLESS_COMMENTS: (b"", b"6\r\n: on\n\n\r\n"),
+}
 
 
 @dataclass(slots=True)
@@ -265,8 +282,16 @@
             event = EVENT % number if number < behaviour.events - 1 else DONE
             data += parser.send(h11.Data(data=event)) or b""
             await stream.send_all(data)
-            attempt.sent_body += event
+            record_event(attempt, event)
             data = b""
+            if number == 0 and fault is ServerFault.SLOW_CHUNK:
+                await self._send_slow_chunk(attempt, stream)
+            if number == 0 and fault is ServerFault.PAUSED_EVENT:
+                await self._send_paused_event(attempt, stream)
+            if number == 0 and fault in SPOILT_PARTS:
+                attempt.was_cut_off = True
+                await self._send_spoilt_part(fault, stream)
+                return False
             if fault is ServerFault.CUT_OFF:
                 attempt.was_cut_off = True
                 return False
@@ -277,6 +302,29 @@
         await stream.send_all(data + (parser.send(h11.EndOfMessage()) or b""))
         return True
 
+    async def _send_slow_chunk(self, attempt: ReceivedAttempt, stream: trio.SocketStream) -> None:
+        await stream.send_all(b"%x\r\n" % (SLOW_CHUNK_EVENTS * len(EVENT % 0)))
+        for _ in range(SLOW_CHUNK_EVENTS):
+            await trio.sleep(SLOW_CHUNK_INTERVAL_S)
+            await stream.send_all(EVENT % 0)
+            record_event(attempt, EVENT % 0)
+        await stream.send_all(b"\r\n")
+
+    async def _send_paused_event(self, attempt: ReceivedAttempt, stream: trio.SocketStream) -> None:
+        data = _chunk(EVENT % 0)
+        await stream.send_all(data[:10])
+        await trio.sleep(self._rng.uniform(*PAUSE_RANGE_S))
+        await stream.send_all(data[10:])
+        record_event(attempt, EVENT % 0)
+
+    @staticmethod
+    async def _send_spoilt_part(fault: ServerFault, stream: trio.SocketStream) -> None:
+        """Write a spoilt part until the router closes the connection."""
+        first, rest = SPOILT_PARTS[fault]
+        await stream.send_all(first)
+        while await _wait_unless_closed(stream, SPOILT_INTERVAL_S):
+            await stream.send_all(rest)
+
     async def _send_slow_event(
         self, attempt: ReceivedAttempt, stream: trio.SocketStream, parser: h11.Connection
     ) -> bool:
@@ -290,6 +338,12 @@
         return True
 
 
+def record_event(attempt: ReceivedAttempt, event: bytes) -> None:
+    """Record that an event has been written to its end."""
+    attempt.sent_body += event
+    attempt.event_times.append((trio.current_time(), len(attempt.sent_body)))
+
+
 def _chunk(data: bytes) -> bytes:
     return b"%x\r\n%b\r\n" % (len(data), data)
 
--- a/sorreldock/program/soak_command.py
+++ b/sorreldock/program/soak_command.py
@@ -29,6 +29,12 @@
     failing_calls: Annotated[
         float, typer.Option(min=0.0, max=0.2, help="Share of system calls that fail, in half of the routers.")
     ] = 0.01,
+    fault: Annotated[
+        list[str] | None, typer.Option(help="Kind of fault; may be repeated. Default: all.")
+    ] = None,
+    server_fault: Annotated[
+        list[str] | None, typer.Option(help="Fault of failing servers; may be repeated. Default: all.")
+    ] = None,
     crowd: Annotated[bool, typer.Option(help="Hostile clients as a kind of fault.")] = False,
     memory: Annotated[int, typer.Option(min=48, help="The routers' memory_mb.")] = 192,
     logs: Annotated[Path | None, typer.Option(help="Folder for the logs of failing seeds.")] = None,
@@ -39,7 +45,9 @@
     Exit status: 0 all rules held, 1 one was broken, 2 invalid command line.
     """
     with report_errors("lab"):
+        from ..lab.soak.faults import FaultKind
         from ..lab.soak.runner import Soak, Verdict, run_soak
+        from ..lab.soak.servers import ServerFault
 
         failed = False
         for seed in seed_range(seeds):
@@ -53,6 +61,8 @@
                     faults_per_s=faults,
                     changes_per_s=changes,
                     failing_calls=failing_calls,
+                    fault_kinds=tuple(FaultKind(name) for name in fault or ()),
+                    server_faults=tuple(ServerFault(name) for name in server_fault or ()),
                     has_crowd=crowd,
                     memory_mb=memory,
                 )
--- a/sorreldock/protocol/server_client.py
+++ b/sorreldock/protocol/server_client.py
@@ -80,7 +80,7 @@
 @contextmanager
 def opening_time_limit(has_other_attempt: bool, awaited: str) -> Iterator[None]:
     """Limit the time for an element that has begun; raise ConnectionLost if it is not complete by then."""
-    left_s = trio.current_effective_deadline() - trio.current_time()
+    left_s = max(trio.current_effective_deadline() - trio.current_time(), 0.0)
     with trio.move_on_after(OPENING_TIME_SHARE * left_s if has_other_attempt else math.inf) as scope:
         yield
     if scope.cancelled_caught:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -53,6 +53,7 @@
         status=200,
         is_complete=True,
         body=served,
+        arrivals=[(10.15, len(served))],
     )
     attempt = ReceivedAttempt("t1", "s1", 10.01, 1.9, ended_at=10.2, sent_body=served)
     return Records([exchange], [attempt], [ProcessRun("r1", 0.0, terminated_at=20.0, status=0)])
@@ -91,6 +92,20 @@
     records.attempts[0].timeout_s = 2.3
 
 
+def leave_a_broken_stream_open(records: Records) -> None:
+    cut_off_answer(records)
+    records.attempts[0].was_cut_off = True
+    records.exchanges[0].arrivals = [(10.1, 9)]
+    records.exchanges[0].body += b": comment\n\n"
+    records.attempts[0].sent_body += b": comment\n\n"
+    records.exchanges[0].ended_at = 15.2
+
+
+def hold_events_back(records: Records) -> None:
+    records.attempts[0].event_times = [(10.05, 9)]
+    records.exchanges[0].arrivals = [(10.4, 9)]
+
+
 def overlap_attempts(records: Records) -> None:
     records.attempts.append(ReceivedAttempt("t1", "s2", 10.1, 1.0, ended_at=10.15, sent_body=b"data: 1\n\n"))
 
@@ -114,6 +129,8 @@
         (complete_a_cut_off_answer, "lost"),
         (attempt_after_client_closed, "lost"),
         (exceed_time_limit, "told"),
+        (leave_a_broken_stream_open, "lost"),
+        (hold_events_back, "held"),
         (overlap_attempts, "duplicate"),
         (attempt_after_drain, "drain"),
         (crash, "crash"),
