Let the calls of the test of an announced stop overlap, which load could prevent

Cause, traced: the test's two calls are to go to both routers, which they do only if they overlap; one after the other may both use the first router, and the client's next dial may then be to the one that has stopped: 3 of 8 plays over HTTP and 1 of 4 over gRPC with the calls one after the other. Change: the servers answer once each of them has a request; the expectation stays.

--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -9,6 +9,8 @@
 import subprocess
 import sys
 import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -32,6 +34,7 @@
 )
 from grpc_peers import DualProtocolServer
 from grpc_peers import Stream as GrpcStream
+from grpc_peers import answer_in_full as answer_grpc_in_full
 from peers import ReceivedRequest, answer_in_full
 
 import sorreldock.client
@@ -425,6 +428,32 @@
             assert stub.times[1] - stub.times[0] >= delay * 0.9 > 0.2
 
 
+@contextmanager
+def overlapping(*servers: DualProtocolServer) -> Iterator[None]:
+    """Let these servers answer only while each of them has a request."""
+    all_open = trio.Event()
+
+    async def wait_for_all() -> None:
+        if all(server.open_requests for server in servers):
+            all_open.set()
+        await all_open.wait()
+
+    async def answer_http(received: ReceivedRequest) -> None:
+        await wait_for_all()
+        await answer_in_full(received)
+
+    async def answer_grpc(stream: GrpcStream) -> None:
+        await wait_for_all()
+        await answer_grpc_in_full(stream)
+
+    scripts = [(server.script, server.grpc_script) for server in servers]
+    for server in servers:
+        server.script, server.grpc_script = answer_http, answer_grpc
+    yield
+    for server, (script, grpc_script) in zip(servers, scripts, strict=True):
+        server.script, server.grpc_script = script, grpc_script
+
+
 @pytest.mark.parametrize("protocol", ["http", "kserve"])
 @on_both_backends
 async def test_calls_go_to_the_other_router_when_one_announces_its_stop(protocol: str) -> None:
@@ -433,10 +462,11 @@
         async with Client([real.program.addresses[protocol]], protocol=protocol) as client:
             await client.ask(REQUEST, 4.0)
             client.update_routers([r.program.addresses[protocol] for r in (real, other)])
-            # Concurrent calls go to both routers, least outstanding first, which opens both connections.
-            async with anyio.create_task_group() as group:
-                for _ in range(2):
-                    group.start_soon(client.ask, REQUEST, 4.0)
+            # Calls that overlap go to both routers, least outstanding first, which opens both connections.
+            with overlapping(engine, second):
+                async with anyio.create_task_group() as group:
+                    for _ in range(2):
+                        group.start_soon(client.ask, REQUEST, 4.0)
             Host.token.run_sync_soon(real.program.lifecycle.stop_requested.set)
             while not client.stats().connections_lost:
                 await anyio.sleep(0.01)
