--- a/sorreldock/lab/soak/servers.py
+++ b/sorreldock/lab/soak/servers.py
@@ -20,6 +20,7 @@
 
 EVENT = b'data: {"n":%d}\n\n'
 DONE = b"data: [DONE]\n\n"
+COMMENT = b": keep-alive\n\n"
 SLOW_EVENT = b'data: {"text":"' + b"x" * 1480 + b'"}\n\n'
 SLOW_EVENT_PIECES, SLOW_EVENT_INTERVAL_S = 15, 0.4
 SLOW_CHUNK_EVENTS, SLOW_CHUNK_INTERVAL_S = 5, 0.6
@@ -55,7 +56,7 @@
     ServerFault.HUGE_CHUNK: (b"B2D05E00\r\n", EVENT % 0),
     ServerFault.ENDLESS_SIZE: (b"0", b"0"),
     ServerFault.ENDLESS_EVENT: (b"20000\r\ndata: ", b"x"),
-    ServerFault.ENDLESS_COMMENTS: (b"", b"6\r\n: on\n\n\r\n"),
+    ServerFault.ENDLESS_COMMENTS: (b"", b"%x\r\n%b\r\n" % (len(COMMENT), COMMENT)),
 }
 
 
@@ -290,7 +291,7 @@
                 await self._send_paused_event(attempt, stream)
             if number == 0 and fault in SPOILT_PARTS:
                 attempt.was_cut_off = True
-                await self._send_spoilt_part(fault, stream)
+                await self._send_spoilt_part(fault, attempt, stream)
                 return False
             if fault is ServerFault.CUT_OFF:
                 attempt.was_cut_off = True
@@ -318,11 +319,15 @@
         record_event(attempt, EVENT % 0)
 
     @staticmethod
-    async def _send_spoilt_part(fault: ServerFault, stream: trio.SocketStream) -> None:
+    async def _send_spoilt_part(
+        fault: ServerFault, attempt: ReceivedAttempt, stream: trio.SocketStream
+    ) -> None:
         """Write a spoilt part until the router closes the connection."""
         first, rest = SPOILT_PARTS[fault]
         await stream.send_all(first)
         while await _wait_unless_closed(stream, SPOILT_INTERVAL_S):
+            if fault is ServerFault.ENDLESS_COMMENTS:  # each of them is a sound part of the answer
+                attempt.sent_body += COMMENT
             await stream.send_all(rest)
 
     async def _send_slow_event(
