--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,7 @@
 from sorreldock.lab.soak.invariants import find_breaks
 from sorreldock.lab.soak.records import Exchange, ProcessRun, ReceivedAttempt, Records
 from sorreldock.lab.soak.runner import Soak, run_soak
+from sorreldock.lab.soak.servers import ServerFault
 
 
 def test_router_processes_hold_the_rules_under_overlapping_faults_and_failing_calls() -> None:
@@ -31,6 +32,28 @@
     assert FaultKind.CROWD in {fault.kind for fault in verdict.plan} and verdict.requests > 100
 
 
+def test_router_processes_end_spoilt_streams_in_time_and_cut_off_no_sound_one() -> None:
+    faults = (
+        ServerFault.SLOW_CHUNK,
+        ServerFault.PAUSED_EVENT,
+        ServerFault.HUGE_CHUNK,
+        ServerFault.ENDLESS_SIZE,
+        ServerFault.ENDLESS_EVENT,
+        ServerFault.ENDLESS_COMMENTS,
+    )
+    soak = Soak(
+        seed=1,
+        routers=4,
+        servers=30,
+        span_s=12.0,
+        faults_per_s=0.4,
+        fault_kinds=(FaultKind.SERVERS_FAIL,),
+        server_faults=faults,
+    )
+    verdict = checked(run_soak(soak))
+    assert verdict.requests > 100 and verdict.served < verdict.requests
+
+
 def test_a_plan_depends_on_its_seed_and_its_faults_overlap() -> None:
     plan = draw_plan(3, 60.0, 2.0, has_crowd=True)
     assert plan == draw_plan(3, 60.0, 2.0, has_crowd=True) != draw_plan(4, 60.0, 2.0, has_crowd=True)
