--- a/tests/test_bad_days.py
+++ b/tests/test_bad_days.py
@@ -16,7 +16,7 @@
 from sorreldock.kserve.framing import Code
 from sorreldock.protocol import front as limits
 from sorreldock.protocol import request_pace, server_client
-from sorreldock.protocol.http.client import EventSplitter
+from sorreldock.protocol.http.event_stream import EventSplitter
 from sorreldock.transport import admission
 from sorreldock.transport.budget import Use
 
